Thin path of a search from caller to merged answer

Cause: nothing existed. Change: workspace with schema, kernel, policy, tier, ports, stand-ins, the two binaries, and a quickstart that runs three nodes over loopback sockets. Conclusion: the shape (entry and owner in every daemon) carries a search; decisions are still plain.

--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,4 @@
+//! Decisions on configuration, membership and ownership. No socket, thread
+//! or store.
+
+pub mod rendezvous;
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,19 @@
+//! Shared types of the tier: identifiers, the clock, messages, the narrow
+//! ports towards everything outside, and the registry of plug-ins.
+//!
+//! Nothing here opens a socket, starts a thread or keeps a store. Data flows
+//! through the files in this order: [`id`], [`time`], [`message`], [`control`],
+//! [`view`], [`port`], [`registry`].
+
+pub mod control;
+pub mod id;
+pub mod message;
+pub mod port;
+pub mod registry;
+pub mod time;
+pub mod view;
+
+pub use id::{CallId, DomainId, Epoch, MapRev, NodeId, Revision, ServiceId, ShardIx, Snapshot};
+pub use id::{QueryId, TargetId};
+pub use time::{Clock, Time};
+pub use view::{View, ViewCell};
--- /dev/null
+++ b/crates/policy/src/budget.rs
@@ -0,0 +1,44 @@
+//! One budget for hedges and retries: a share of first attempts.
+
+use std::sync::atomic::{AtomicI64, Ordering};
+
+/// Cost of one extra call; a first attempt earns the budget's share of it.
+const CALL_COST: i64 = 100;
+
+/// Largest number of extra calls that may be saved up.
+const SAVED_CALLS: i64 = 50;
+
+/// Budget of extra calls.
+#[derive(Debug)]
+pub struct Budget {
+    percent: i64,
+    saved: AtomicI64,
+}
+
+impl Budget {
+    /// Budget of `percent` extra calls per hundred first attempts.
+    #[must_use]
+    pub fn new(percent: u32) -> Self {
+        Self {
+            percent: i64::from(percent),
+            saved: AtomicI64::new(CALL_COST * SAVED_CALLS / 10),
+        }
+    }
+
+    /// Earns for `calls` first attempts.
+    pub fn earn(&self, calls: usize) {
+        let gain = self.percent * i64::try_from(calls).unwrap_or(0);
+        let step = |saved: i64| Some((saved + gain).min(CALL_COST * SAVED_CALLS));
+        let _ = self
+            .saved
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
+    }
+
+    /// Spends one extra call, if the budget has it.
+    pub fn spend(&self) -> bool {
+        let step = |saved: i64| (saved >= CALL_COST).then_some(saved - CALL_COST);
+        self.saved
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, step)
+            .is_ok()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,12 @@
+//! Decisions on the path of a request: state, an event and the time go in,
+//! actions come out. No socket, thread or store.
+//!
+//! In the order of a request: [`admission`] at the entry, [`query`] with
+//! [`fleet`] (choice of replica), [`budget`] (hedges and retries), and
+//! [`gate`] at the owner of a target.
+
+pub mod admission;
+pub mod budget;
+pub mod fleet;
+pub mod gate;
+pub mod query;
--- /dev/null
+++ b/crates/ports/src/lib.rs
@@ -0,0 +1,13 @@
+//! Sockets towards callers, targets, peers, operators and the platform.
+//!
+//! HTTP is served and sent through `hyper`; nodes talk to each other through
+//! `tarpc`. Each file joins one outside system to its port in the kernel.
+
+pub mod caller;
+pub mod http_client;
+pub mod http_server;
+pub mod operator;
+pub mod peer;
+pub mod platform;
+pub mod target;
+pub mod wire;
--- /dev/null
+++ b/crates/ports/src/platform.rs
@@ -0,0 +1,57 @@
+//! The platform's key-value service and VM list over HTTP and JSON.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use heatherrun_kernel::port::{Platform, StoreCall, StoreError, StoreReply, async_fn};
+use http::{Request, StatusCode};
+use http_body_util::Full;
+
+use crate::http_client::{Client, ExchangeError};
+
+/// Connections to the platform at the most.
+const CONNECTIONS: usize = 4;
+
+/// Longest reply, in bytes.
+const REPLY_BYTES: usize = 64 << 20;
+
+/// Longest wait for a reply beyond the wait that a watch names.
+const CALL_TIME: Duration = Duration::from_secs(2);
+
+/// The port to the platform at `address`.
+#[must_use]
+pub fn platform(address: SocketAddr) -> Platform {
+    let client = Arc::new(Client::default());
+    Platform {
+        call: async_fn(move |call| {
+            let client = Arc::clone(&client);
+            async move { exchange(&client, address, call).await }
+        }),
+    }
+}
+
+async fn exchange(
+    client: &Client,
+    address: SocketAddr,
+    call: StoreCall,
+) -> Result<StoreReply, StoreError> {
+    let wait = match &call {
+        StoreCall::Watch { wait, .. } => *wait,
+        _ => Duration::ZERO,
+    };
+    let body = serde_json::to_vec(&call).map_err(|_| StoreError::Unavailable)?;
+    let request = Request::post("/store")
+        .header(http::header::HOST, "platform")
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|_| StoreError::Unavailable)?;
+    let sent = client.exchange(address, CONNECTIONS, REPLY_BYTES, request);
+    let reply = match tokio::time::timeout(wait + CALL_TIME, sent).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(ExchangeError::NotSent)) => return Err(StoreError::Unavailable),
+        Ok(Err(_)) | Err(_) => return Err(StoreError::NoAnswer),
+    };
+    if reply.status() != StatusCode::OK {
+        return Err(StoreError::Unavailable);
+    }
+    serde_json::from_slice(reply.body()).map_err(|_| StoreError::NoAnswer)?
+}
--- /dev/null
+++ b/crates/standins/src/local.rs
@@ -0,0 +1,226 @@
+//! A whole tier in one process: platform, searchers and nodes on free
+//! loopback ports, for examples, tests and the wire experiment.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use heatherrun_fakes::searcher::{Searcher, Settings};
+use heatherrun_fakes::store::Store;
+use heatherrun_kernel::message::NodeInfo;
+use heatherrun_kernel::port::{Vm, VmState};
+use heatherrun_kernel::{Clock, DomainId, NodeId, Revision, ShardIx};
+use heatherrun_ports::{caller, operator, peer, platform, target};
+use heatherrun_schema::v1;
+use heatherrun_tier::node::Node;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Any free loopback port.
+const ANY: &str = "127.0.0.1:0";
+
+/// One node with its listeners.
+pub struct LocalNode {
+    /// Node.
+    pub node: Arc<Node>,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+    stop: watch::Sender<bool>,
+}
+
+impl LocalNode {
+    /// Ends the node's listeners and loops at once, as a crash would.
+    pub fn kill(&mut self) {
+        self.stop.send_replace(true);
+        for task in self.tasks.drain(..) {
+            task.abort();
+        }
+    }
+}
+
+/// One searcher with its listener.
+pub struct LocalSearcher {
+    /// Searcher.
+    pub searcher: Searcher,
+    /// Its part of the configuration.
+    pub config: v1::Searcher,
+    task: JoinHandle<()>,
+    _stop: watch::Sender<bool>,
+}
+
+impl LocalSearcher {
+    /// Starts a searcher called `name` in `domain`.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub async fn start(name: &str, domain: &str, settings: Settings) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind(ANY).await?;
+        let config = v1::Searcher {
+            name: name.to_owned(),
+            address: listener.local_addr()?.to_string(),
+            domain: domain.to_owned(),
+            slots: u32::from(settings.slots),
+            connections: u32::from(settings.slots) * 10,
+        };
+        let searcher = Searcher::new(settings);
+        let (stop, stopped) = watch::channel(false);
+        let serving = crate::searcher::serve(listener, searcher.clone(), stopped);
+        Ok(Self {
+            searcher,
+            config,
+            task: tokio::spawn(serving),
+            _stop: stop,
+        })
+    }
+
+    /// Ends the searcher's listener at once.
+    pub fn kill(&self) {
+        self.task.abort();
+    }
+}
+
+/// The tier.
+pub struct LocalTier {
+    /// Platform.
+    pub store: Store,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Searchers.
+    pub searchers: Vec<LocalSearcher>,
+    /// Nodes.
+    pub nodes: Vec<LocalNode>,
+    _stop: watch::Sender<bool>,
+}
+
+impl LocalTier {
+    /// Starts the platform alone.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub async fn start() -> anyhow::Result<Self> {
+        let store = Store::default();
+        let listener = TcpListener::bind(ANY).await?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(false);
+        tokio::spawn(crate::platform::serve(listener, store.clone(), stopped));
+        Ok(Self {
+            store,
+            platform: address,
+            searchers: Vec::new(),
+            nodes: Vec::new(),
+            _stop: stop,
+        })
+    }
+
+    /// Starts the searchers of a sharded service, one replica in each of
+    /// `domains`, and returns the service's configuration.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub async fn add_sharded(
+        &mut self,
+        name: &str,
+        shards: u16,
+        domains: &[&str],
+        settings: &Settings,
+    ) -> anyhow::Result<v1::Service> {
+        let mut made = Vec::new();
+        for shard in 0..shards {
+            let mut replicas = Vec::new();
+            for domain in domains {
+                let mut own = settings.clone();
+                own.shard = ShardIx(shard);
+                own.seed += self.searchers.len() as u64;
+                let label = format!("{name}-{shard}-{domain}");
+                let searcher = LocalSearcher::start(&label, domain, own).await?;
+                replicas.push(searcher.config.clone());
+                self.searchers.push(searcher);
+            }
+            made.push(v1::Shard {
+                index: u32::from(shard),
+                replicas,
+            });
+        }
+        Ok(v1::Service {
+            name: name.to_owned(),
+            kind: Some(v1::service::Kind::Sharded(v1::Sharded { shards: made })),
+            limits: Some(v1::Limits::default()),
+            objectives: Some(v1::Objectives::default()),
+        })
+    }
+
+    /// Starts a node called `name` in `domain` and lists it as a live VM.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub async fn add_node(&mut self, name: &str, domain: &str) -> anyhow::Result<()> {
+        let callers = TcpListener::bind(ANY).await?;
+        let peers = TcpListener::bind(ANY).await?;
+        let operators = TcpListener::bind(ANY).await?;
+        let info = NodeInfo {
+            id: NodeId::of(name),
+            name: name.to_owned(),
+            domain: DomainId::of(domain),
+            peers: peers.local_addr()?,
+            callers: callers.local_addr()?,
+            started: self.nodes.len() as u64 + 1,
+        };
+        let (caller_address, operator_address) = (info.callers, operators.local_addr()?);
+        let node = Node::new(
+            info,
+            Clock::start(),
+            target::targets(),
+            peer::peers(),
+            platform::platform(self.platform),
+            5,
+        );
+        let (stop, stopped) = watch::channel(false);
+        let following = Arc::clone(&node);
+        let tasks = vec![
+            tokio::spawn(peer::serve(peers, Arc::clone(&node))),
+            tokio::spawn(operator::serve(
+                operators,
+                Arc::clone(&node),
+                stopped.clone(),
+            )),
+            tokio::spawn(caller::serve(callers, Arc::clone(&node), stopped)),
+            tokio::spawn(async move { following.follow().await }),
+        ];
+        self.nodes.push(LocalNode {
+            node,
+            callers: caller_address,
+            operators: operator_address,
+            tasks,
+            stop,
+        });
+        self.list_vms(domain);
+        Ok(())
+    }
+
+    fn list_vms(&self, domain: &str) {
+        let mut vms = Vec::new();
+        for local in &self.nodes {
+            let info = &local.node.info;
+            let names = ["wallis", "ticino", "zurich"];
+            let known = names.iter().find(|n| DomainId::of(n) == info.domain);
+            vms.push(Vm {
+                name: info.name.clone(),
+                domain: known.map_or(domain, |n| *n).to_owned(),
+                peers: info.peers,
+                callers: info.callers,
+                state: VmState::Live,
+            });
+        }
+        self.store.set_vms(vms);
+    }
+
+    /// Makes each node take the newest state of the platform now.
+    pub async fn settle(&self) {
+        for local in &self.nodes {
+            local.node.refresh(Revision(0)).await;
+        }
+    }
+}
