--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Harness shared by the experiments under `benches/`.
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -55,7 +55,7 @@
     }
 
     async fn control(self, _: context::Context, message: Ask) -> Answer {
-        self.node.answer(message).await
+        self.node.answer(&message)
     }
 }
 
--- /dev/null
+++ b/crates/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level burn, tables and plots.
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -90,11 +90,10 @@
     }
 
     /// Answers a control message of a peer.
-    pub async fn answer(&self, message: Ask) -> Answer {
-        match message {
-            Ask::Beat(_) => Answer::Refused(None),
-            Ask::Claim(_) | Ask::Settle(_) | Ask::Suspect(_) => Answer::Refused(None),
-        }
+    #[must_use]
+    pub fn answer(&self, message: &Ask) -> Answer {
+        log::debug!(node = self.info.name.as_str(), message:?; "control.refused");
+        Answer::Refused(None)
     }
 
     /// Keeps the view in step with the platform, for ever.
