Shared types of once-only records and crash marks, answered by every node

Cause: claims, settlements and suspicions had message types but no receiver, and a delayed settlement could end the grant of another claimer. Change: claims and settlements name the claimer's query; suspicions name the shard, the call and whether the request had succeeded elsewhere; units of once-only partitions have one function in the kernel; records and marks are pure code in policy with drivers in tier, dispatched by the node. Failures tell a lost owner (PeerLost) from a lost target. Batch bodies are shared, not copied.

--- a/crates/kernel/src/control.rs
+++ b/crates/kernel/src/control.rs
@@ -7,7 +7,7 @@
 
 use crate::message::NodeInfo;
 use crate::port::KeyValue;
-use crate::{Epoch, NodeId, Revision, TargetId, Time};
+use crate::{CallId, Epoch, NodeId, QueryId, Revision, ShardIx, TargetId, Time};
 
 /// A node's sign of life to the leader of its failure domain.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,6 +66,8 @@
     pub issued: u64,
     /// Fingerprint of service and body.
     pub print: u64,
+    /// The claimer's query; a claim repeated under it is answered alike.
+    pub by: QueryId,
 }
 
 /// Answer to a [`Claim`].
@@ -92,6 +94,8 @@
     pub unit: TargetId,
     /// Id that the caller chose.
     pub id: String,
+    /// The claimer's query, so that a late message ends no other grant.
+    pub by: QueryId,
     /// How it ended.
     pub end: Ending,
 }
@@ -114,6 +118,12 @@
     pub print: u64,
     /// Target whose connection was lost while it ran.
     pub target: TargetId,
+    /// Shard that the target held.
+    pub shard: ShardIx,
+    /// Call that was lost.
+    pub call: CallId,
+    /// True when the same request had succeeded on another shard before.
+    pub proven: bool,
     /// True when an operator cleared the fingerprint.
     pub cleared: bool,
 }
--- a/crates/kernel/src/id.rs
+++ b/crates/kernel/src/id.rs
@@ -46,7 +46,16 @@
     TargetId
 }
 
+/// Partitions of the once-only records of one pooled service.
+pub const ONCE_PARTITIONS: u16 = 16;
+
 impl TargetId {
+    /// Identifier of one partition of a service's once-only records.
+    #[must_use]
+    pub fn of_partition(service: &str, partition: u16) -> Self {
+        Self::of(&format!("once/{service}/{partition}"))
+    }
+
     /// Identifier of a searcher, whose name is unique within its service.
     #[must_use]
     pub fn of_searcher(service: &str, searcher: &str) -> Self {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -14,6 +14,6 @@
 pub mod view;
 
 pub use id::{CallId, DomainId, Epoch, MapRev, NodeId, Revision, ServiceId, ShardIx, Snapshot};
-pub use id::{QueryId, TargetId};
+pub use id::{ONCE_PARTITIONS, QueryId, TargetId};
 pub use time::{Clock, Time};
 pub use view::{View, ViewCell};
--- a/crates/kernel/src/message.rs
+++ b/crates/kernel/src/message.rs
@@ -1,10 +1,11 @@
 //! Typed messages on the path of a request: what a target is asked and
 //! answers, and what an entry and an owner say to each other.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
+use crate::control::Suspicion;
 use crate::{CallId, Epoch, MapRev, NodeId, QueryId, Revision, ServiceId, ShardIx, Snapshot};
 use crate::{DomainId, TargetId};
 
@@ -113,7 +114,7 @@
     /// Time left.
     pub left: Duration,
     /// Query text or request body.
-    pub body: std::sync::Arc<[u8]>,
+    pub body: Arc<[u8]>,
 }
 
 /// What a target answered.
@@ -154,6 +155,8 @@
     NoConnection,
     /// The connection was lost while the call ran.
     ConnectionLost,
+    /// The owner was sent the call and gave no answer.
+    PeerLost,
     /// The deadline passed while the call ran.
     TimedOut,
     /// The reply was cut, malformed, or repeated another call's identifier.
@@ -236,8 +239,10 @@
     pub revision: Revision,
     /// Fingerprint of service and body.
     pub print: u64,
+    /// True when the fingerprint is known to have succeeded somewhere.
+    pub proven: bool,
     /// Query text or request body.
-    pub body: Vec<u8>,
+    pub body: Arc<[u8]>,
     /// Calls.
     pub calls: Vec<BatchCall>,
 }
@@ -277,8 +282,8 @@
     pub pending: u16,
     /// Newest revision that the owner has in force.
     pub revision: Revision,
-    /// New suspicions of crash-causing requests, by fingerprint.
-    pub marks: Vec<u64>,
+    /// Suspicions that arose from calls of the batch.
+    pub marks: Vec<Suspicion>,
 }
 
 /// Asks for the calls of a batch that were pending.
@@ -317,3 +322,46 @@
     /// Start of the process, in Unix milliseconds; tells restarts apart.
     pub started: u64,
 }
+
+/// Records of one partition of once-only requests, as its holder hands them
+/// to the next one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OnceRecords {
+    /// Partition.
+    pub unit: TargetId,
+    /// Generation of the right under which they were kept.
+    pub epoch: Epoch,
+    /// Ids issued after this point are contained without a gap, in Unix
+    /// milliseconds.
+    pub since: u64,
+    /// Records.
+    pub records: Vec<OnceRecord>,
+}
+
+/// One once-only request that was claimed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OnceRecord {
+    /// Id that the caller chose.
+    pub id: String,
+    /// When the id was issued, in Unix milliseconds.
+    pub issued: u64,
+    /// Fingerprint of service and body.
+    pub print: u64,
+    /// Query of the last claimer.
+    pub by: QueryId,
+    /// What is known of it.
+    pub state: OnceState,
+}
+
+/// What the holder of a partition knows of a claimed request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OnceState {
+    /// Granted; it runs, or its end was not told.
+    Granted,
+    /// It ran with this answer.
+    Ran(Vec<u8>),
+    /// It may have run.
+    Unknown,
+    /// It was proved not to have run.
+    NotRun,
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,10 +3,13 @@
 //!
 //! In the order of a request: [`admission`] at the entry, [`query`] with
 //! [`fleet`] (choice of replica), [`budget`] (hedges and retries), and
-//! [`gate`] at the owner of a target.
+//! [`gate`] at the owner of a target. [`once`] keeps records of once-only
+//! requests, [`marks`] of requests that crash targets.
 
 pub mod admission;
 pub mod budget;
 pub mod fleet;
 pub mod gate;
+pub mod marks;
+pub mod once;
 pub mod query;
--- a/crates/tier/src/entry.rs
+++ b/crates/tier/src/entry.rs
@@ -29,8 +29,10 @@
 use rand::rngs::SmallRng;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::once::Once;
 use crate::owner::Owner;
 use crate::refuse;
+use crate::suspects;
 use crate::trace::Traces;
 
 /// Requests that one node works on at once.
@@ -67,7 +69,7 @@
     deadline: Duration,
     limit: usize,
     least: u8,
-    body: Vec<u8>,
+    body: Arc<[u8]>,
 }
 
 /// Takes requests from callers.
@@ -81,12 +83,14 @@
     budgets: Mutex<HashMap<ServiceId, Arc<Budget>>>,
     admission: Admission,
     traces: Traces,
+    once: Once,
     run: u64,
     seq: AtomicU64,
 }
 
 impl Entry {
-    /// Entry of node `me`; `run` tells this start of the process from others.
+    /// Entry of node `me`; `run` is the start of the clock in Unix
+    /// milliseconds, which also tells starts of the process apart.
     #[must_use]
     pub fn new(
         clock: Clock,
@@ -96,7 +100,11 @@
         owner: Arc<Owner>,
         run: u64,
     ) -> Arc<Self> {
+        let right = Arc::clone(owner.right());
+        let tell = suspects::tell_peers(me, Arc::clone(&view), peers.clone(), run);
+        owner.suspects().set_tell(tell);
         Arc::new(Self {
+            once: Once::new(clock, Arc::clone(&view), run, right),
             clock,
             me,
             view,
@@ -111,6 +119,12 @@
         })
     }
 
+    /// Records of once-only requests that this node holds.
+    #[must_use]
+    pub const fn once(&self) -> &Once {
+        &self.once
+    }
+
     /// Traces of recent queries.
     #[must_use]
     pub fn traces(&self) -> &Traces {
@@ -144,7 +158,7 @@
                 ask.limit as usize
             },
             least: u8::try_from(ask.min_coverage.min(100)).unwrap_or(100),
-            body: ask.query.into_bytes(),
+            body: ask.query.into_bytes().into(),
             service,
         };
         let (query, merged, attempts) = self.serve(request).await?;
@@ -193,7 +207,7 @@
             deadline: deadline(&service, ask.deadline_ms)?,
             limit: 0,
             least: 100,
-            body: ask.body.into_bytes(),
+            body: ask.body.into_bytes().into(),
             service,
         };
         let (query, merged, attempts) = self.serve(request).await?;
@@ -404,7 +418,8 @@
             flush: HEDGE / 2,
             revision: view.revision,
             print: xxh3_64(&self.request.body),
-            body: self.request.body.clone(),
+            proven: false,
+            body: Arc::clone(&self.request.body),
             calls,
         };
         if node == self.entry.me {
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -4,12 +4,15 @@
 //!
 //! In the order of a request: [`entry`] takes it from a caller, [`owner`]
 //! sends its calls to targets. [`node`] holds both together with the view;
-//! [`operate`] serves the operators' calls.
+//! [`operate`] serves the operators' calls. [`once`] keeps the records of
+//! once-only requests, [`suspects`] the marks of crash-causing ones.
 
 pub mod addresses;
 pub mod entry;
 pub mod node;
+pub mod once;
 pub mod operate;
 pub mod owner;
 pub mod refuse;
+pub mod suspects;
 pub mod trace;
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -92,8 +92,21 @@
     /// Answers a control message of a peer.
     #[must_use]
     pub fn answer(&self, message: &Ask) -> Answer {
-        log::debug!(node = self.info.name.as_str(), message:?; "control.refused");
-        Answer::Refused(None)
+        match message {
+            Ask::Claim(claim) => Answer::Claim(self.entry.once().claim(claim)),
+            Ask::Settle(settle) => {
+                self.entry.once().settle(settle);
+                Answer::Taken
+            }
+            Ask::Suspect(told) => {
+                self.owner.suspects().note(told);
+                Answer::Taken
+            }
+            Ask::Beat(_) => {
+                log::debug!(node = self.info.name.as_str(), message:?; "control.refused");
+                Answer::Refused(None)
+            }
+        }
     }
 
     /// Keeps the view in step with the platform, for ever.
--- a/crates/tier/src/owner.rs
+++ b/crates/tier/src/owner.rs
@@ -19,6 +19,8 @@
 use heatherrun_policy::gate::{Ask, Gate, Step};
 use tokio::sync::{Notify, oneshot};
 
+use crate::suspects::Suspects;
+
 /// Time that an unfetched batch is kept after its deadline.
 const KEEP: Duration = Duration::from_millis(500);
 
@@ -65,6 +67,7 @@
     view: Arc<ViewCell>,
     targets: Targets,
     right: RightFn,
+    suspects: Arc<Suspects>,
     lanes: ArcSwap<HashMap<TargetId, Arc<Lane>>>,
     open: Mutex<BTreeMap<BatchKey, Arc<Open>>>,
 }
@@ -82,11 +85,24 @@
             view,
             targets,
             right,
+            suspects: Arc::new(Suspects::new(clock)),
             lanes: ArcSwap::default(),
             open: Mutex::default(),
         })
     }
 
+    /// Marks of crash-causing requests known to this node.
+    #[must_use]
+    pub const fn suspects(&self) -> &Arc<Suspects> {
+        &self.suspects
+    }
+
+    /// Looks up this node's rights.
+    #[must_use]
+    pub const fn right(&self) -> &RightFn {
+        &self.right
+    }
+
     /// Sends the calls of a batch; returns what is done after its flush time.
     pub async fn search(self: &Arc<Self>, batch: Batch) -> BatchReply {
         let deadline = self.clock.now() + batch.left;
@@ -94,7 +110,7 @@
         let open = self.enlist(&batch);
         let key = batch_key(&batch);
         let batch = Arc::new(batch);
-        let body: Arc<[u8]> = Arc::from(batch.body.as_slice());
+        let body = Arc::clone(&batch.body);
         for call in batch.calls.iter().copied() {
             let owner = Arc::clone(self);
             let (batch, body, open) = (Arc::clone(&batch), Arc::clone(&body), Arc::clone(&open));
