Bound the HTTP server and drive client connections in the calling task

Cause: the server held any number of connections, answered its own errors without a body, and closed sockets on unread input, which destroys the answer on its way; a crossed reply's connection was pooled; a peer message lost after it left was called not sent. Change: limits and phases for the server, every refusal in the one JSON form, lingering close; connections of the client are driven by the call that uses them and are kept only after the call's own whole reply; peers have several links, made anew after a loss; nodes of a local tier run on their own threads, so that killing one closes all its sockets.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,8 @@
 use anyhow::Context as _;
 use heatherrun_kernel::message::NodeInfo;
 use heatherrun_kernel::{Clock, DomainId, NodeId};
-use heatherrun_ports::{caller, operator, peer, platform, target};
+use heatherrun_ports::http_server::Phase;
+use heatherrun_ports::{caller, operator, peer, peer_client, platform, target};
 use heatherrun_schema::v1::NodeSettings;
 use heatherrun_tier::node::Node;
 use tokio::net::TcpListener;
@@ -38,11 +39,11 @@
         info,
         clock,
         target::targets(),
-        peer::peers(),
+        peer_client::peers(),
         store,
         settings.address_secs,
     );
-    let (stop, stopped) = watch::channel(false);
+    let (stop, stopped) = watch::channel(Phase::Serve);
     tokio::spawn(peer::serve(peers, node.clone()));
     let operator_task = operator::serve(operators, node.clone(), stopped.clone());
     tokio::spawn(operator_task);
@@ -50,7 +51,7 @@
     tokio::spawn(async move { following.follow().await });
     let serving = tokio::spawn(caller::serve(callers, node, stopped));
     tokio::signal::ctrl_c().await?;
-    stop.send_replace(true);
+    stop.send_replace(Phase::Close);
     serving.await?;
     Ok(())
 }
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -1,21 +1,36 @@
 //! HTTP connections that are kept and reused, at most so many per address.
+//!
+//! A connection is driven by the task that uses it. A call that is given up
+//! drops its connection with it, so that no later call can read its reply.
 
 use std::{
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicUsize, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
+    time::Duration,
 };
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
+use futures::FutureExt;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// Longest wait for a connection.
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+
+/// Time after which an unused connection closes.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// Bytes of a reply's headers and read buffer at the most.
+const BUFFER_BYTES: usize = 64 * 1024;
 
 /// Failure of one exchange.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
@@ -23,25 +38,47 @@
     /// No byte of the request was sent.
     #[error("no connection; the request was not sent")]
     NotSent,
+    /// Time ran out before a byte of the request was sent.
+    #[error("no connection in time; the request was not sent")]
+    Expired,
     /// The connection was lost after the request was sent.
     #[error("connection lost; the request may have run")]
     Lost,
-    /// The reply was cut or too long.
-    #[error("reply cut or too long; the request may have run")]
+    /// Time ran out after the request was sent.
+    #[error("no reply in time; the request may have run")]
+    TimedOut,
+    /// The reply was cut, too long, or not the one asked for.
+    #[error("reply cut, too long or crossed; the request may have run")]
     BadReply,
 }
 
+/// Where and within what bounds a request is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Address.
+    pub address: SocketAddr,
+    /// Connections to the address open at once.
+    pub connections: usize,
+    /// Longest reply, in bytes.
+    pub reply: usize,
+    /// Time until the reply must be there.
+    pub left: Duration,
+}
+
 /// One open connection; it closes when dropped.
 struct Link {
     sender: SendRequest<Full<Bytes>>,
-    driver: AbortHandle,
-    count: Arc<AtomicUsize>,
+    connection: Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    used: Instant,
+    _place: Place,
 }
 
-impl Drop for Link {
+/// A place counted for one connection, open or in the making.
+struct Place(Arc<AtomicUsize>);
+
+impl Drop for Place {
     fn drop(&mut self) {
-        self.driver.abort();
-        self.count.fetch_sub(1, Ordering::AcqRel);
+        self.0.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -49,112 +86,197 @@
 struct Pool {
     idle: Mutex<Vec<Link>>,
     count: Arc<AtomicUsize>,
+    swept: AtomicBool,
 }
 
-/// Pools of connections by address.
+/// Pools of connections by address; finding one takes no lock.
 #[derive(Default)]
 pub struct Client {
-    pools: Mutex<HashMap<SocketAddr, Arc<Pool>>>,
+    pools: ArcSwap<HashMap<SocketAddr, Arc<Pool>>>,
 }
 
 impl Client {
     /// Sends a request over an idle connection or a new one, and reads the
-    /// whole reply of at most `most_bytes`. At most `most` connections to the
-    /// address are open at once.
+    /// whole reply. The connection is kept only if `own` finds that the reply
+    /// belongs to the request.
     ///
     /// # Errors
     /// [`ExchangeError`] tells whether the request may have run.
     pub async fn exchange(
         &self,
-        address: SocketAddr,
-        most: usize,
-        most_bytes: usize,
-        request: Request<Full<Bytes>>,
+        route: Route,
+        mut request: Request<Full<Bytes>>,
+        own: impl Fn(&Response<Bytes>) -> bool,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let pool = self.pool(address);
-        let mut link = match pool.take_idle() {
-            Some(link) => link,
-            None => pool.connect(address, most).await?,
-        };
-        let sent = link.sender.try_send_request(request).await;
-        let response = sent.map_err(|mut e| match e.take_message() {
-            Some(_) => ExchangeError::NotSent,
-            None => ExchangeError::Lost,
-        })?;
-        let (head, body) = response.into_parts();
-        let read = Limited::new(body, most_bytes).collect().await;
-        let body = read.map_err(|_| ExchangeError::BadReply)?.to_bytes();
-        pool.put_back(link);
-        Ok(Response::from_parts(head, body))
+        let pool = self.pool(route.address);
+        let end = Instant::now() + route.left;
+        loop {
+            let taken = tokio::time::timeout_at(end, pool.take(route)).await;
+            let (mut link, kept) = taken.map_err(|_| ExchangeError::Expired)??;
+            let sent = tokio::time::timeout_at(end, link.send(request, route.reply)).await;
+            match sent.map_err(|_| ExchangeError::TimedOut)? {
+                Sent::Unsent(again) if kept => request = again,
+                Sent::Unsent(_) => return Err(ExchangeError::NotSent),
+                Sent::Failed(error) => return Err(error),
+                Sent::Replied(reply) => {
+                    if !own(&reply) {
+                        return Err(ExchangeError::BadReply);
+                    }
+                    pool.put_back(link);
+                    return Ok(reply);
+                }
+            }
+        }
     }
 
     /// Connections open to `address`.
     #[must_use]
     pub fn connections(&self, address: SocketAddr) -> usize {
-        self.pool(address).count.load(Ordering::Acquire)
+        let pools = self.pools.load();
+        let count = |pool: &Arc<Pool>| pool.count.load(Ordering::Acquire);
+        pools.get(&address).map_or(0, count)
     }
 
     fn pool(&self, address: SocketAddr) -> Arc<Pool> {
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(pools.entry(address).or_default())
+        if let Some(pool) = self.pools.load().get(&address) {
+            return Arc::clone(pool);
+        }
+        let made = Arc::<Pool>::default();
+        self.pools.rcu(|old| {
+            let mut next = HashMap::clone(old);
+            next.entry(address).or_insert_with(|| Arc::clone(&made));
+            next
+        });
+        self.pools.load().get(&address).map_or(made, Arc::clone)
     }
 }
 
-impl Pool {
-    fn take_idle(&self) -> Option<Link> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        while let Some(link) = idle.pop() {
-            if link.sender.is_ready() {
-                return Some(link);
-            }
+/// What became of a request on one connection.
+enum Sent {
+    /// The whole reply.
+    Replied(Response<Bytes>),
+    /// No byte of the request was sent.
+    Unsent(Request<Full<Bytes>>),
+    /// The request may have run.
+    Failed(ExchangeError),
+}
+
+impl Link {
+    /// Whether the connection can carry a request: the peer has neither
+    /// closed it nor sent anything unasked.
+    fn is_fresh(&mut self) -> bool {
+        (&mut self.connection).now_or_never().is_none() && self.sender.is_ready()
+    }
+
+    async fn send(&mut self, request: Request<Full<Bytes>>, most: usize) -> Sent {
+        let Self {
+            sender, connection, ..
+        } = self;
+        let exchange = exchange(sender, request, most);
+        tokio::pin!(exchange);
+        tokio::select! {
+            biased;
+            sent = &mut exchange => return sent,
+            _ = connection => {}
         }
-        None
+        exchange.await
     }
+}
 
-    fn put_back(&self, link: Link) {
-        if !link.sender.is_closed() {
-            let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-            idle.push(link);
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+    most: usize,
+) -> Sent {
+    let response = match sender.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut e) => {
+            return match e.take_message() {
+                Some(request) => Sent::Unsent(request),
+                None => Sent::Failed(lost_or_bad(e.error())),
+            };
         }
+    };
+    let (head, body) = response.into_parts();
+    match Limited::new(body, most).collect().await {
+        Ok(body) => Sent::Replied(Response::from_parts(head, body.to_bytes())),
+        Err(_) => Sent::Failed(ExchangeError::BadReply),
     }
+}
 
-    async fn connect(&self, address: SocketAddr, most: usize) -> Result<Link, ExchangeError> {
-        let step = |open: usize| (open < most).then_some(open + 1);
+fn lost_or_bad(error: &hyper::Error) -> ExchangeError {
+    if error.is_parse() {
+        ExchangeError::BadReply
+    } else {
+        ExchangeError::Lost
+    }
+}
+
+impl Pool {
+    fn lock(&self) -> MutexGuard<'_, Vec<Link>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// An idle connection, or a new one when there is none; true when idle.
+    async fn take(self: &Arc<Self>, route: Route) -> Result<(Link, bool), ExchangeError> {
+        loop {
+            let Some(mut link) = self.lock().pop() else {
+                break;
+            };
+            if link.is_fresh() {
+                return Ok((link, true));
+            }
+        }
+        let step = |open: usize| (open < route.connections).then_some(open + 1);
         self.count
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, step)
             .map_err(|_| ExchangeError::NotSent)?;
         let place = Place(Arc::clone(&self.count));
-        let stream = TcpStream::connect(address)
-            .await
-            .map_err(|_| ExchangeError::NotSent)?;
-        let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|_| ExchangeError::NotSent)?;
-        let driver = tokio::spawn(connection).abort_handle();
-        let count = place.keep();
-        Ok(Link {
-            sender,
-            driver,
-            count,
-        })
+        let connecting = tokio::time::timeout(CONNECT_TIME, connect(route.address, place));
+        let link = connecting.await.map_err(|_| ExchangeError::NotSent)??;
+        Ok((link, false))
     }
-}
 
-/// A place counted for a connection that is being made.
-struct Place(Arc<AtomicUsize>);
+    /// Keeps a connection whose reply has been read whole.
+    fn put_back(self: &Arc<Self>, mut link: Link) {
+        if (&mut link.connection).now_or_never().is_some() {
+            return;
+        }
+        link.used = Instant::now();
+        self.lock().push(link);
+        if !self.swept.swap(true, Ordering::AcqRel) {
+            tokio::spawn(Arc::clone(self).close_unused());
+        }
+    }
 
-impl Place {
-    /// Hands the place over to the connection.
-    fn keep(self) -> Arc<AtomicUsize> {
-        let count = Arc::clone(&self.0);
-        std::mem::forget(self);
-        count
+    /// Closes connections that stay unused, until none is idle.
+    async fn close_unused(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(IDLE_TIME).await;
+            let mut idle = self.lock();
+            idle.retain(|link| link.used.elapsed() < IDLE_TIME);
+            if idle.is_empty() {
+                self.swept.store(false, Ordering::Release);
+                return;
+            }
+        }
     }
 }
 
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
+async fn connect(address: SocketAddr, place: Place) -> Result<Link, ExchangeError> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|_| ExchangeError::NotSent)?;
+    let _ = stream.set_nodelay(true);
+    let made = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
+    let (sender, connection) = made.map_err(|_| ExchangeError::NotSent)?;
+    Ok(Link {
+        sender,
+        connection,
+        used: Instant::now(),
+        _place: place,
+    })
 }
--- a/crates/ports/src/http_server.rs
+++ b/crates/ports/src/http_server.rs
@@ -1,24 +1,30 @@
-//! HTTP server with bounded headers, bodies and times, and graceful shutdown.
+//! HTTP server with bounded connections, headers, bodies and times, and
+//! graceful shutdown.
 
-use std::{convert::Infallible, net::SocketAddr, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use futures::FutureExt;
+use http::Request;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
-use serde::Serialize;
-use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
-/// Longest time in which a request's headers must arrive.
-const HEADER_TIME: Duration = Duration::from_secs(5);
-
-/// Longest time in which a request's body must arrive.
-const BODY_TIME: Duration = Duration::from_secs(10);
+use crate::http_io::Guarded;
+use crate::http_reply::{Fault, Reply, close_after};
 
 /// Bytes of headers and read buffer at the most, per connection.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -26,6 +32,53 @@
 /// Headers of one request at the most.
 const MOST_HEADERS: usize = 64;
 
+/// Connections at the most that are refused at the same time.
+const MOST_REFUSED: usize = 64;
+
+/// Wait for the first request of a connection accepted as the port closes.
+const FIRST_TIME: Duration = Duration::from_secs(1);
+
+/// Pause after a failed accept, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What a server accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Longest body, in bytes.
+    pub body: usize,
+    /// Connections open at the same time.
+    pub connections: usize,
+    /// Longest time in which a request's headers must arrive.
+    pub head_time: Duration,
+    /// Longest time in which a request's body must arrive.
+    pub body_time: Duration,
+}
+
+impl Limits {
+    /// Limits for bodies of at most `body` bytes.
+    #[must_use]
+    pub const fn new(body: usize) -> Self {
+        Self {
+            body,
+            connections: 2_048,
+            head_time: Duration::from_secs(10),
+            body_time: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Phase of a server's life, in the order in which they follow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Phase {
+    /// Serves and keeps connections.
+    #[default]
+    Serve,
+    /// Serves, and closes each connection after its next response.
+    Leave,
+    /// Accepts no more; finishes what is open.
+    Close,
+}
+
 /// A request whose body has been read.
 #[derive(Debug)]
 pub struct Received {
@@ -35,89 +88,146 @@
     pub body: Bytes,
 }
 
-/// Response with a body in memory.
-pub type Reply = Response<Full<Bytes>>;
+/// What all connections of one server share.
+struct Shared<A> {
+    limits: Limits,
+    phase: watch::Receiver<Phase>,
+    answer: A,
+}
 
-/// Serves `listener` until `stop` turns true, then finishes open requests.
+/// Serves `listener` until the phase is [`Phase::Close`], then finishes open
+/// requests and returns.
 ///
-/// `answer` is called with each request whose body has at most `most` bytes.
+/// `answer` is called with each request, or with the fault for which the
+/// server did not take it.
 pub async fn serve<F>(
     listener: TcpListener,
-    most: usize,
-    mut stop: watch::Receiver<bool>,
-    answer: impl Fn(Received, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    limits: Limits,
+    mut phase: watch::Receiver<Phase>,
+    answer: impl Fn(Result<Received, Fault>, SocketAddr) -> F + Send + Sync + 'static,
 ) where
     F: Future<Output = Reply> + Send + 'static,
 {
-    let graceful = GracefulShutdown::new();
+    let places = Arc::new(Semaphore::new(limits.connections));
+    let refused = Arc::new(Semaphore::new(MOST_REFUSED));
+    let shared = Arc::new(Shared {
+        limits,
+        phase: phase.clone(),
+        answer,
+    });
     loop {
         let accepted = tokio::select! {
             biased;
-            _ = stop.wait_for(|stopped| *stopped) => break,
+            _ = phase.wait_for(|p| *p == Phase::Close) => break,
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, from)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let _ = stream.set_nodelay(true);
-        let answer = answer.clone();
-        let service = service_fn(move |request| {
-            let answer = answer.clone();
-            async move { Ok::<_, Infallible>(receive(request, from, most, answer).await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_TIME)
-            .max_buf_size(BUFFER_BYTES)
-            .max_headers(MOST_HEADERS)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(graceful.watch(connection));
+        start(&shared, &places, &refused, stream, from);
+    }
+    while let Some(Ok((stream, from))) = listener.accept().now_or_never() {
+        start(&shared, &places, &refused, stream, from);
     }
     drop(listener);
-    graceful.shutdown().await;
+    let all = u32::try_from(limits.connections).unwrap_or(u32::MAX);
+    let _ = places.acquire_many(all).await;
 }
 
-async fn receive<F: Future<Output = Reply>>(
-    request: Request<Incoming>,
+/// Starts a connection if there is a place, and refuses it otherwise.
+fn start<F, A>(
+    shared: &Arc<Shared<A>>,
+    places: &Arc<Semaphore>,
+    refused: &Arc<Semaphore>,
+    stream: TcpStream,
     from: SocketAddr,
-    most: usize,
-    answer: impl Fn(Received, SocketAddr) -> F,
-) -> Reply {
-    let (head, body) = request.into_parts();
-    let read = Limited::new(body, most).collect();
-    match tokio::time::timeout(BODY_TIME, read).await {
-        Ok(Ok(body)) => {
-            let body = body.to_bytes();
-            answer(Received { head, body }, from).await
-        }
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
-        }
-        Ok(Err(_)) => plain(StatusCode::BAD_REQUEST, "body cut"),
-        Err(_) => plain(StatusCode::REQUEST_TIMEOUT, "body too slow"),
+) where
+    F: Future<Output = Reply> + Send + 'static,
+    A: Fn(Result<Received, Fault>, SocketAddr) -> F + Send + Sync + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let io = Guarded::new(stream);
+    if let Ok(place) = Arc::clone(places).try_acquire_owned() {
+        tokio::spawn(connection(Arc::clone(shared), io, from, place));
+    } else if let Ok(place) = Arc::clone(refused).try_acquire_owned() {
+        tokio::spawn(refuse(io, place));
     }
 }
 
-/// Response of one line of text.
-#[must_use]
-pub fn plain(status: StatusCode, text: &str) -> Reply {
-    respond(status, Bytes::copy_from_slice(text.as_bytes()))
+async fn refuse(mut io: Guarded, place: OwnedSemaphorePermit) {
+    io.refuse(Fault::Full).await;
+    io.linger().await;
+    drop(place);
 }
 
-/// Response with the JSON form of `value`.
-#[must_use]
-pub fn json(status: StatusCode, value: &impl Serialize) -> Reply {
-    match serde_json::to_vec(value) {
-        Ok(body) => respond(status, Bytes::from(body)),
-        Err(e) => plain(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+/// Serves one connection until it closes.
+async fn connection<F, A>(
+    shared: Arc<Shared<A>>,
+    io: Guarded,
+    from: SocketAddr,
+    place: OwnedSemaphorePermit,
+) where
+    F: Future<Output = Reply> + Send + 'static,
+    A: Fn(Result<Received, Fault>, SocketAddr) -> F + Send + Sync + 'static,
+{
+    let count = Arc::new(AtomicU64::new(0));
+    let (own, seen) = (Arc::clone(&shared), Arc::clone(&count));
+    let service = service_fn(move |request| {
+        seen.fetch_add(1, Ordering::AcqRel);
+        let shared = Arc::clone(&own);
+        async move { Ok::<_, Infallible>(receive(&shared, request, from).await) }
+    });
+    let mut served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(shared.limits.head_time)
+        .max_buf_size(BUFFER_BYTES)
+        .max_headers(MOST_HEADERS)
+        .serve_connection(TokioIo::new(io), service);
+    let mut phase = shared.phase.clone();
+    let mut ended = tokio::select! {
+        biased;
+        ended = &mut served => Some(ended),
+        _ = phase.wait_for(|p| *p == Phase::Close) => None,
+    };
+    if ended.is_none() && count.load(Ordering::Acquire) == 0 {
+        ended = tokio::time::timeout(FIRST_TIME, &mut served).await.ok();
+    }
+    let ended = if let Some(ended) = ended {
+        ended
+    } else {
+        Pin::new(&mut served).graceful_shutdown();
+        (&mut served).await
+    };
+    let parts = served.into_parts();
+    let mut io = parts.io.into_inner();
+    if ended.is_err_and(|e| e.is_timeout()) && !parts.read_buf.is_empty() {
+        io.refuse(Fault::SlowHead).await;
     }
+    io.linger().await;
+    drop(place);
 }
 
-/// Response with a body.
-#[must_use]
-pub fn respond(status: StatusCode, body: Bytes) -> Reply {
-    let mut reply = Response::new(Full::new(body));
-    *reply.status_mut() = status;
+async fn receive<F, A>(shared: &Shared<A>, request: Request<Incoming>, from: SocketAddr) -> Reply
+where
+    F: Future<Output = Reply>,
+    A: Fn(Result<Received, Fault>, SocketAddr) -> F,
+{
+    let (head, body) = request.into_parts();
+    let read = Limited::new(body, shared.limits.body).collect();
+    let received = match tokio::time::timeout(shared.limits.body_time, read).await {
+        Ok(Ok(body)) => Ok(Received {
+            head,
+            body: body.to_bytes(),
+        }),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Fault::LongBody),
+        Ok(Err(_)) => Err(Fault::CutBody),
+        Err(_) => Err(Fault::SlowBody),
+    };
+    let faulty = received.is_err();
+    let mut reply = (shared.answer)(received, from).await;
+    if faulty || *shared.phase.borrow() != Phase::Serve {
+        close_after(&mut reply);
+    }
     reply
 }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -5,9 +5,12 @@
 
 pub mod caller;
 pub mod http_client;
+mod http_io;
+pub mod http_reply;
 pub mod http_server;
 pub mod operator;
 pub mod peer;
+pub mod peer_client;
 pub mod platform;
 pub mod target;
 pub mod wire;
--- a/crates/ports/src/platform.rs
+++ b/crates/ports/src/platform.rs
@@ -7,7 +7,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 
-use crate::http_client::{Client, ExchangeError};
+use crate::http_client::{Client, ExchangeError, Route};
 
 /// Connections to the platform at the most.
 const CONNECTIONS: usize = 4;
@@ -44,11 +44,18 @@
         .header(http::header::HOST, "platform")
         .body(Full::new(Bytes::from(body)))
         .map_err(|_| StoreError::Unavailable)?;
-    let sent = client.exchange(address, CONNECTIONS, REPLY_BYTES, request);
-    let reply = match tokio::time::timeout(wait + CALL_TIME, sent).await {
-        Ok(Ok(reply)) => reply,
-        Ok(Err(ExchangeError::NotSent)) => return Err(StoreError::Unavailable),
-        Ok(Err(_)) | Err(_) => return Err(StoreError::NoAnswer),
+    let route = Route {
+        address,
+        connections: CONNECTIONS,
+        reply: REPLY_BYTES,
+        left: wait + CALL_TIME,
+    };
+    let reply = match client.exchange(route, request, |_| true).await {
+        Ok(reply) => reply,
+        Err(ExchangeError::NotSent | ExchangeError::Expired) => {
+            return Err(StoreError::Unavailable);
+        }
+        Err(_) => return Err(StoreError::NoAnswer),
     };
     if reply.status() != StatusCode::OK {
         return Err(StoreError::Unavailable);
--- a/crates/ports/src/target.rs
+++ b/crates/ports/src/target.rs
@@ -4,21 +4,22 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use heatherrun_kernel::message::{
-    CallError, CallKind, CallResult, Failure, TargetCall, TargetReply,
-};
+use heatherrun_kernel::message::{CallError, CallKind, CallResult, Failure, TargetCall};
 use heatherrun_kernel::port::{Endpoint, Targets, async_fn};
 use heatherrun_kernel::time::micros;
 use heatherrun_kernel::{CallId, TargetId};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 
-use crate::http_client::{Client, ExchangeError};
+use crate::http_client::{Client, ExchangeError, Route};
 use crate::wire;
 
 /// Longest reply of a target, in bytes.
 const REPLY_BYTES: usize = 4 << 20;
 
+/// Connections kept free for cancellations.
+const SPARE: usize = 1;
+
 /// Longest wait for the answer to a cancellation.
 const CANCEL_TIME: Duration = Duration::from_millis(200);
 
@@ -45,17 +46,35 @@
     }
     let id = call.id.to_string();
     let request = encode(&call, &id);
-    let most = usize::from(endpoint.connections / 2).max(1);
-    let exchange = client.exchange(endpoint.address, most, REPLY_BYTES, request);
-    match tokio::time::timeout(call.left, exchange).await {
-        Err(_) => Err(CallError::unknown(Failure::TimedOut)),
-        Ok(Err(ExchangeError::NotSent)) => Err(CallError::not_run(Failure::NoConnection)),
-        Ok(Err(ExchangeError::Lost)) => Err(CallError::unknown(Failure::ConnectionLost)),
-        Ok(Err(ExchangeError::BadReply)) => Err(CallError::unknown(Failure::BadReply)),
-        Ok(Ok(reply)) => decode(&reply, &id),
+    let route = Route {
+        address: endpoint.address,
+        connections: share(endpoint).saturating_sub(SPARE).max(1),
+        reply: REPLY_BYTES,
+        left: call.left,
+    };
+    let sent = client.exchange(route, request, |reply| repeats(reply, &id));
+    match sent.await {
+        Ok(reply) => decode(&reply),
+        Err(ExchangeError::NotSent) => Err(CallError::not_run(Failure::NoConnection)),
+        Err(ExchangeError::Expired) => Err(CallError::not_run(Failure::Expired)),
+        Err(ExchangeError::Lost) => Err(CallError::unknown(Failure::ConnectionLost)),
+        Err(ExchangeError::TimedOut) => Err(CallError::unknown(Failure::TimedOut)),
+        Err(ExchangeError::BadReply) => Err(CallError::unknown(Failure::BadReply)),
     }
 }
 
+/// Connections that this node may open: half of what the target accepts, so
+/// that a successor's fit beside them during a take-over.
+fn share(endpoint: Endpoint) -> usize {
+    usize::from(endpoint.connections / 2).max(1)
+}
+
+/// Whether a reply repeats the identifier of the call.
+fn repeats(reply: &Response<Bytes>, id: &str) -> bool {
+    let named = reply.headers().get(wire::CALL);
+    named.is_some_and(|value| value.as_bytes() == id.as_bytes())
+}
+
 fn encode(call: &TargetCall, id: &str) -> Request<Full<Bytes>> {
     let kind = match call.kind {
         CallKind::Search => "search",
@@ -77,16 +96,12 @@
     built.unwrap_or_default()
 }
 
-fn decode(reply: &Response<Bytes>, id: &str) -> CallResult {
-    let header = |name| reply.headers().get(name).and_then(|v| v.to_str().ok());
-    if header(wire::CALL) != Some(id) {
-        return Err(CallError::unknown(Failure::BadReply));
-    }
+fn decode(reply: &Response<Bytes>) -> CallResult {
     if reply.status() == StatusCode::OK {
-        return serde_json::from_slice::<TargetReply>(reply.body())
-            .map_err(|_| CallError::unknown(Failure::BadReply));
+        return wire::decode_reply(reply.body()).map_err(|_| CallError::unknown(Failure::BadReply));
     }
-    match header(wire::NOT_RUN).and_then(parse_failure) {
+    let reason = reply.headers().get(wire::NOT_RUN);
+    match reason.and_then(|v| parse_failure(v.to_str().ok()?)) {
         Some(Failure::Cancelled) => Err(CallError::unknown(Failure::Cancelled)),
         Some(failure) => Err(CallError::not_run(failure)),
         None => Err(CallError::unknown(Failure::BadReply)),
@@ -128,7 +143,11 @@
         .header(wire::CALL, id.to_string())
         .body(Full::default())
         .unwrap_or_default();
-    let most = usize::from(endpoint.connections / 2).max(1);
-    let exchange = client.exchange(endpoint.address, most, REPLY_BYTES, request);
-    let _ = tokio::time::timeout(CANCEL_TIME, exchange).await;
+    let route = Route {
+        address: endpoint.address,
+        connections: share(endpoint),
+        reply: REPLY_BYTES,
+        left: CANCEL_TIME,
+    };
+    let _ = client.exchange(route, request, |_| true).await;
 }
--- a/crates/standins/src/local.rs
+++ b/crates/standins/src/local.rs
@@ -9,17 +9,25 @@
 use heatherrun_kernel::message::NodeInfo;
 use heatherrun_kernel::port::{Vm, VmState};
 use heatherrun_kernel::{Clock, DomainId, NodeId, Revision, ShardIx};
-use heatherrun_ports::{caller, operator, peer, platform, target};
+use heatherrun_ports::http_server::Phase;
+use heatherrun_ports::{caller, operator, peer, peer_client, platform, target};
 use heatherrun_schema::v1;
 use heatherrun_tier::node::Node;
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// Any free loopback port.
 const ANY: &str = "127.0.0.1:0";
 
-/// One node with its listeners.
+/// Name of the threads on which nodes run.
+pub const NODE_THREAD: &str = "heatherrun-node";
+
+/// Seconds that callers may keep an address answer.
+const KEEP_SECS: u32 = 5;
+
+/// One node on threads of its own.
 pub struct LocalNode {
     /// Node.
     pub node: Arc<Node>,
@@ -27,18 +35,106 @@
     pub callers: SocketAddr,
     /// Address for operators.
     pub operators: SocketAddr,
-    tasks: Vec<JoinHandle<()>>,
-    stop: watch::Sender<bool>,
+    /// Moves the server for callers on; see [`Phase`].
+    pub phase: watch::Sender<Phase>,
+    /// Ends when the server for callers has finished its last request.
+    pub served: Option<JoinHandle<()>>,
+    runtime: Option<Runtime>,
 }
 
 impl LocalNode {
-    /// Ends the node's listeners and loops at once, as a crash would.
+    /// Starts a node called `name` in `domain` on `threads` threads.
+    async fn start(
+        name: &str,
+        domain: &str,
+        platform: SocketAddr,
+        started: u64,
+        threads: usize,
+    ) -> anyhow::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(threads)
+            .thread_name(NODE_THREAD)
+            .enable_all()
+            .build()?;
+        let (name, domain) = (name.to_owned(), domain.to_owned());
+        let making = runtime.spawn(async move { open(&name, &domain, platform, started).await });
+        let mut made = making.await??;
+        made.runtime = Some(runtime);
+        Ok(made)
+    }
+
+    /// Ends the node at once, as a crash would: every task is dropped and
+    /// every socket closed.
     pub fn kill(&mut self) {
-        self.stop.send_replace(true);
-        for task in self.tasks.drain(..) {
-            task.abort();
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
         }
     }
+
+    /// Runs `work` on the node's own threads.
+    ///
+    /// # Errors
+    /// When the node was killed.
+    pub async fn run<T: Send + 'static>(
+        &self,
+        work: impl Future<Output = T> + Send + 'static,
+    ) -> anyhow::Result<T> {
+        let runtime = self.runtime.as_ref();
+        let runtime = runtime.ok_or_else(|| anyhow::anyhow!("the node was killed"))?;
+        Ok(runtime.spawn(work).await?)
+    }
+}
+
+impl Drop for LocalNode {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Opens the listeners of a node and serves on them.
+async fn open(
+    name: &str,
+    domain: &str,
+    platform: SocketAddr,
+    started: u64,
+) -> anyhow::Result<LocalNode> {
+    let callers = TcpListener::bind(ANY).await?;
+    let peers = TcpListener::bind(ANY).await?;
+    let operators = TcpListener::bind(ANY).await?;
+    let operator_address = operators.local_addr()?;
+    let info = NodeInfo {
+        id: NodeId::of(name),
+        name: name.to_owned(),
+        domain: DomainId::of(domain),
+        peers: peers.local_addr()?,
+        callers: callers.local_addr()?,
+        started,
+    };
+    let caller_address = info.callers;
+    let node = Node::new(
+        info,
+        Clock::start(),
+        target::targets(),
+        peer_client::peers(),
+        platform::platform(platform),
+        KEEP_SECS,
+    );
+    let (phase, phases) = watch::channel(Phase::Serve);
+    tokio::spawn(peer::serve(peers, Arc::clone(&node)));
+    let operating = operator::serve(operators, Arc::clone(&node), phases.clone());
+    tokio::spawn(operating);
+    let serving = caller::serve(callers, Arc::clone(&node), phases);
+    let served = tokio::spawn(serving);
+    let following = Arc::clone(&node);
+    tokio::spawn(async move { following.follow().await });
+    Ok(LocalNode {
+        node,
+        callers: caller_address,
+        operators: operator_address,
+        phase,
+        served: Some(served),
+        runtime: None,
+    })
 }
 
 /// One searcher with its listener.
@@ -48,7 +144,7 @@
     /// Its part of the configuration.
     pub config: v1::Searcher,
     task: JoinHandle<()>,
-    _stop: watch::Sender<bool>,
+    _stop: watch::Sender<Phase>,
 }
 
 impl LocalSearcher {
@@ -66,7 +162,7 @@
             connections: u32::from(settings.slots) * 10,
         };
         let searcher = Searcher::new(settings);
-        let (stop, stopped) = watch::channel(false);
+        let (stop, stopped) = watch::channel(Phase::Serve);
         let serving = crate::searcher::serve(listener, searcher.clone(), stopped);
         Ok(Self {
             searcher,
@@ -92,7 +188,9 @@
     pub searchers: Vec<LocalSearcher>,
     /// Nodes.
     pub nodes: Vec<LocalNode>,
-    _stop: watch::Sender<bool>,
+    /// Threads of each node that is started from now on.
+    pub threads: usize,
+    _stop: watch::Sender<Phase>,
 }
 
 impl LocalTier {
@@ -104,13 +202,14 @@
         let store = Store::default();
         let listener = TcpListener::bind(ANY).await?;
         let address = listener.local_addr()?;
-        let (stop, stopped) = watch::channel(false);
+        let (stop, stopped) = watch::channel(Phase::Serve);
         tokio::spawn(crate::platform::serve(listener, store.clone(), stopped));
         Ok(Self {
             store,
             platform: address,
             searchers: Vec::new(),
             nodes: Vec::new(),
+            threads: 1,
             _stop: stop,
         })
     }
@@ -157,45 +256,9 @@
     /// # Errors
     /// When no port is free.
     pub async fn add_node(&mut self, name: &str, domain: &str) -> anyhow::Result<()> {
-        let callers = TcpListener::bind(ANY).await?;
-        let peers = TcpListener::bind(ANY).await?;
-        let operators = TcpListener::bind(ANY).await?;
-        let info = NodeInfo {
-            id: NodeId::of(name),
-            name: name.to_owned(),
-            domain: DomainId::of(domain),
-            peers: peers.local_addr()?,
-            callers: callers.local_addr()?,
-            started: self.nodes.len() as u64 + 1,
-        };
-        let (caller_address, operator_address) = (info.callers, operators.local_addr()?);
-        let node = Node::new(
-            info,
-            Clock::start(),
-            target::targets(),
-            peer::peers(),
-            platform::platform(self.platform),
-            5,
-        );
-        let (stop, stopped) = watch::channel(false);
-        let following = Arc::clone(&node);
-        let tasks = vec![
-            tokio::spawn(peer::serve(peers, Arc::clone(&node))),
-            tokio::spawn(operator::serve(
-                operators,
-                Arc::clone(&node),
-                stopped.clone(),
-            )),
-            tokio::spawn(caller::serve(callers, Arc::clone(&node), stopped)),
-            tokio::spawn(async move { following.follow().await }),
-        ];
-        self.nodes.push(LocalNode {
-            node,
-            callers: caller_address,
-            operators: operator_address,
-            tasks,
-            stop,
-        });
+        let started = self.nodes.len() as u64 + 1;
+        let made = LocalNode::start(name, domain, self.platform, started, self.threads).await?;
+        self.nodes.push(made);
         self.list_vms(domain);
         Ok(())
     }
@@ -220,7 +283,10 @@
     /// Makes each node take the newest state of the platform now.
     pub async fn settle(&self) {
         for local in &self.nodes {
-            local.node.refresh(Revision(0)).await;
+            let node = Arc::clone(&local.node);
+            let _ = local
+                .run(async move { node.refresh(Revision(0)).await })
+                .await;
         }
     }
 }
--- a/crates/standins/src/searcher.rs
+++ b/crates/standins/src/searcher.rs
@@ -6,7 +6,8 @@
 use heatherrun_fakes::searcher::Searcher;
 use heatherrun_kernel::message::{CallError, CallKind, Failure, TargetCall};
 use heatherrun_kernel::{CallId, Epoch, MapRev, ServiceId, ShardIx, Snapshot, TargetId};
-use heatherrun_ports::http_server::{self, Received, Reply, json, respond};
+use heatherrun_ports::http_reply::{Reply, respond};
+use heatherrun_ports::http_server::{self, Limits, Phase, Received};
 use heatherrun_ports::target::name_failure;
 use heatherrun_ports::wire;
 use http::StatusCode;
@@ -18,13 +19,23 @@
 
 type Running = Arc<Mutex<HashMap<String, oneshot::Sender<()>>>>;
 
-/// Serves `searcher` until `stop` turns true.
-pub async fn serve(listener: TcpListener, searcher: Searcher, stop: watch::Receiver<bool>) {
+/// Serves `searcher` until the phase is [`Phase::Close`].
+pub async fn serve(listener: TcpListener, searcher: Searcher, phase: watch::Receiver<Phase>) {
     let running = Running::default();
-    http_server::serve(listener, BODY_BYTES, stop, move |received, _| {
-        let (searcher, running) = (searcher.clone(), Arc::clone(&running));
-        async move { answer(&searcher, &running, received).await }
-    })
+    http_server::serve(
+        listener,
+        Limits::new(BODY_BYTES),
+        phase,
+        move |received, _| {
+            let (searcher, running) = (searcher.clone(), Arc::clone(&running));
+            async move {
+                match received {
+                    Ok(received) => answer(&searcher, &running, received).await,
+                    Err(fault) => fault.reply(),
+                }
+            }
+        },
+    )
     .await;
 }
 
@@ -59,7 +70,10 @@
         .unwrap_or_else(PoisonError::into_inner)
         .remove(&id);
     let mut reply = match result {
-        Ok(reply) => json(StatusCode::OK, &reply),
+        Ok(reply) => respond(
+            StatusCode::OK,
+            wire::encode_reply(reply).unwrap_or_default().into(),
+        ),
         Err(error) => refuse(error),
     };
     if let Ok(value) = id.parse() {
