Deepen the decisions of a request: limits, choice, hedges, pinning, once-only, marks

Cause: the thin path had a fixed hedge delay, a limit cut by halves on refusals alone, a re-plan that forgot that cancelled calls may have run, and once-only requests that nobody granted. Hedge delays are learned for each shard; hedges stop while refusals for load come in. Once-only requests are claimed at the holder of their record. Calls that timed out keep their place until the target was told to stop.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,10 +1,27 @@
 //! Admission at the entry: how many requests a node works on at once, and
-//! which class is shed first.
+//! which class is shed first. Refusals for load behind the entry lower the
+//! number, so that work is shed before any of it is sent.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::{
+    sync::atomic::{AtomicU32, AtomicU64, Ordering},
+    time::Duration,
+};
 
+use heatherrun_kernel::Time;
 use heatherrun_kernel::message::Class;
 
+/// Places by which the limit is counted, for fractions of one.
+const UNIT: u32 = 256;
+
+/// Places that are always open.
+const LEAST_PLACES: u32 = 8;
+
+/// Part of the requests in work that an overload leaves, in per cent.
+const KEPT_PERCENT: u32 = 90;
+
+/// Least time between two such cuts.
+const CUT_SPAN: Duration = Duration::from_millis(20);
+
 /// Part of the places open to a class, in per cent.
 const fn share(class: Class) -> u32 {
     match class {
@@ -17,32 +34,84 @@
 /// Count of requests in work at one node.
 #[derive(Debug)]
 pub struct Admission {
-    places: u32,
+    most: u32,
+    /// Places open now, in [`UNIT`]s.
+    limit: AtomicU32,
+    cut_at: AtomicU64,
     taken: AtomicU32,
 }
 
+/// One place; dropping it gives it back.
+#[derive(Debug)]
+pub struct Place<'a> {
+    admission: &'a Admission,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.admission.taken.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 impl Admission {
     /// Admission of at most `places` requests at once.
     #[must_use]
     pub const fn new(places: u32) -> Self {
         Self {
-            places,
+            most: places,
+            limit: AtomicU32::new(places * UNIT),
+            cut_at: AtomicU64::new(0),
             taken: AtomicU32::new(0),
         }
     }
 
     /// Takes a place for a request of `class`, if one is open to it.
-    pub fn enter(&self, class: Class) -> bool {
-        let open = self.places * share(class) / 100;
+    pub fn enter(&self, class: Class) -> Option<Place<'_>> {
+        let open = (self.places() * share(class) / 100).max(1);
         let step = |taken: u32| (taken < open).then_some(taken + 1);
         self.taken
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, step)
             .is_ok()
+            .then_some(Place { admission: self })
+    }
+
+    /// Notes how a request ended: refused for load, or not.
+    pub fn note(&self, now: Time, overloaded: bool) {
+        if overloaded {
+            self.cut(now);
+            return;
+        }
+        let taken = self.taken();
+        let step = |limit: u32| {
+            let used = (taken + 1) * 2 >= limit / UNIT;
+            let grown = limit + UNIT * UNIT / limit.max(UNIT) + 1;
+            used.then_some(grown.min(self.most * UNIT))
+        };
+        let _ = self
+            .limit
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
     }
 
-    /// Gives a place back.
-    pub fn leave(&self) {
-        self.taken.fetch_sub(1, Ordering::AcqRel);
+    fn cut(&self, now: Time) {
+        let last = self.cut_at.load(Ordering::Relaxed);
+        if last != 0 && now < Time(last) + CUT_SPAN {
+            return;
+        }
+        self.cut_at.store(now.0, Ordering::Relaxed);
+        let taken = self.taken();
+        let step = |limit: u32| {
+            let used = limit.min(taken * UNIT) / 100 * KEPT_PERCENT;
+            Some(used.max(LEAST_PLACES.min(self.most) * UNIT))
+        };
+        let _ = self
+            .limit
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
+    }
+
+    /// Requests that may be in work now.
+    #[must_use]
+    pub fn places(&self) -> u32 {
+        self.limit.load(Ordering::Relaxed) / UNIT
     }
 
     /// Requests in work.
@@ -54,6 +123,6 @@
     /// Load in per cent of the places.
     #[must_use]
     pub fn load(&self) -> u8 {
-        u8::try_from(self.taken() * 100 / self.places.max(1)).unwrap_or(u8::MAX)
+        u8::try_from(self.taken() * 100 / self.places().max(1)).unwrap_or(u8::MAX)
     }
 }
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -1,6 +1,12 @@
-//! One budget for hedges and retries: a share of first attempts.
+//! One budget for hedges and retries: a share of first attempts. Refusals
+//! for load switch hedges off for a while.
 
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::{
+    sync::atomic::{AtomicI64, AtomicU64, Ordering},
+    time::Duration,
+};
+
+use heatherrun_kernel::Time;
 
 /// Cost of one extra call; a first attempt earns the budget's share of it.
 const CALL_COST: i64 = 100;
@@ -8,11 +14,15 @@
 /// Largest number of extra calls that may be saved up.
 const SAVED_CALLS: i64 = 50;
 
+/// Time without hedges after a refusal for load.
+const OVERLOAD_SPAN: Duration = Duration::from_millis(100);
+
 /// Budget of extra calls.
 #[derive(Debug)]
 pub struct Budget {
     percent: i64,
     saved: AtomicI64,
+    overload_until: AtomicU64,
 }
 
 impl Budget {
@@ -22,6 +32,7 @@
         Self {
             percent: i64::from(percent),
             saved: AtomicI64::new(CALL_COST * SAVED_CALLS / 10),
+            overload_until: AtomicU64::new(0),
         }
     }
 
@@ -41,4 +52,21 @@
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, step)
             .is_ok()
     }
+
+    /// Gives back an extra call that was not sent.
+    pub fn refund(&self) {
+        self.saved.fetch_add(CALL_COST, Ordering::Relaxed);
+    }
+
+    /// Notes a refusal for load.
+    pub fn note_overload(&self, now: Time) {
+        let until = now + OVERLOAD_SPAN;
+        self.overload_until.fetch_max(until.0, Ordering::Relaxed);
+    }
+
+    /// Whether hedges are off for load.
+    #[must_use]
+    pub fn is_overloaded(&self, now: Time) -> bool {
+        now.0 < self.overload_until.load(Ordering::Relaxed)
+    }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,9 +7,14 @@
 //! requests, [`marks`] of requests that crash targets.
 
 pub mod admission;
+pub mod answer;
 pub mod budget;
 pub mod fleet;
 pub mod gate;
+pub mod hedge;
+mod limit;
 pub mod marks;
 pub mod once;
+pub mod proof;
 pub mod query;
+mod slot;
--- a/crates/policy/src/query.rs
+++ b/crates/policy/src/query.rs
@@ -1,20 +1,33 @@
 //! One query from its plan to its verdict: which calls to send, which to
-//! hedge or repeat, which replies to merge, and what the answer covers.
+//! hedge or repeat, and which replies may be merged.
+//!
+//! A search whose fingerprint is not known to be harmless, or whose snapshot
+//! is not known, goes to one shard first. The reply pins the snapshot and
+//! proves that the search does not crash its target; then all other shards
+//! are asked.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use heatherrun_kernel::message::{CallKind, Done, Failure, Lot, Ran, Reason};
+use heatherrun_kernel::message::{CallError, CallKind, Done, Failure, Ran, Reason, TargetReply};
 use heatherrun_kernel::view::Service;
 use heatherrun_kernel::{MapRev, ShardIx, Snapshot, TargetId, Time};
-use rand::Rng;
+use rand::{Rng, RngExt};
 
-use crate::{budget::Budget, fleet::Fleet};
+use crate::answer::weight;
+pub use crate::answer::{Merged, Missing, Verdict};
+use crate::marks::Level;
+use crate::slot::Slot;
+use crate::{budget::Budget, fleet::Fleet, hedge::Hedges};
 
 /// Time kept for merging and for the way back to the caller.
 const MARGIN: Duration = Duration::from_millis(2);
 
-/// Attempts for one shard at the most, the first included.
-const MOST_ATTEMPTS: usize = 4;
+/// Shards asked at the same time before the search is proven.
+const MOST_FIRST: usize = 2;
+
+/// Hedge delays after which an answer with enough coverage waits no longer
+/// for a shard.
+const PATIENCE: u32 = 4;
 
 /// What a query asks for.
 #[derive(Clone, Debug)]
@@ -27,10 +40,13 @@
     pub deadline: Time,
     /// Lots wanted.
     pub limit: usize,
-    /// Least coverage that makes an answer, in per cent.
+    /// Least coverage that makes an answer, in per cent. Zero waits for full
+    /// coverage until the deadline and then takes any.
     pub least: u8,
-    /// Delay after which a call is hedged.
+    /// Delay after which a call is hedged while none is learned.
     pub hedge: Duration,
+    /// Whether the request is known not to crash its targets.
+    pub proven: bool,
 }
 
 /// What the driver must do next.
@@ -62,71 +78,20 @@
     pub at: Time,
 }
 
-/// One shard that is not covered, and why.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Missing {
-    /// Shard.
-    pub shard: ShardIx,
-    /// Why its last attempt failed.
-    pub failure: Failure,
-}
-
-/// The outcome of a query.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Verdict {
-    /// An answer from one snapshot.
-    Answer(Merged),
-    /// No answer that the caller accepts.
-    Refused {
-        /// Whether any call may have run.
-        ran: Ran,
-        /// The failure that weighs most.
-        failure: Failure,
-        /// Shards reached and wanted.
-        reached: (usize, usize),
-    },
-}
-
-/// A merged answer.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Merged {
-    /// Lots, best first, none twice.
-    pub lots: Vec<Lot>,
-    /// Body of a request's answer.
-    pub body: Vec<u8>,
-    /// Snapshot of every merged reply.
-    pub snapshot: Snapshot,
-    /// Shards reached.
-    pub reached: usize,
-    /// Shards in all.
-    pub total: usize,
-    /// Shards not covered.
-    pub missing: Vec<Missing>,
-}
-
-#[derive(Debug, Default)]
-struct Slot {
-    open: Vec<Sent>,
-    tried: Vec<TargetId>,
-    reply: Option<(Vec<Lot>, Vec<u8>)>,
-    failure: Option<Failure>,
-    unknown: bool,
-}
-
-impl Slot {
-    fn settled(&self) -> bool {
-        self.reply.is_some() || (self.open.is_empty() && self.failure.is_some())
-    }
-}
-
 /// State of one query.
 #[derive(Debug)]
 pub struct Query {
     spec: Spec,
     snapshot: Snapshot,
     slots: Vec<Slot>,
-    attempts: u16,
+    /// Shard of each attempt.
+    shards: Vec<u16>,
+    /// First attempt of the plan in force; replies to earlier ones are not
+    /// merged.
+    plan: usize,
     replanned: bool,
+    /// Whether only a few shards are asked until one of them answers.
+    probing: bool,
     ran: bool,
 }
 
@@ -136,8 +101,14 @@
     pub fleet: &'a Fleet,
     /// Budget of hedges and retries.
     pub budget: &'a Budget,
+    /// Learned hedge delays.
+    pub hedges: &'a Hedges,
+    /// Service as configured now.
+    pub current: Option<&'a Arc<Service>>,
     /// Whether a target may get new work now.
     pub usable: &'a dyn Fn(TargetId) -> bool,
+    /// What is known of the request's fingerprint.
+    pub level: Level,
     /// Source of random choices.
     pub rng: &'a mut R,
 }
@@ -146,16 +117,35 @@
     /// Query that pins `snapshot`; zero lets the first reply pin it.
     #[must_use]
     pub fn new(spec: Spec, snapshot: Snapshot) -> Self {
-        let mut slots = Vec::new();
-        slots.resize_with(spec.service.shards.len(), Slot::default);
-        Self {
-            spec,
+        let mut made = Self {
+            slots: Vec::new(),
+            shards: Vec::with_capacity(spec.service.shards.len()),
             snapshot,
-            slots,
-            attempts: 0,
+            spec,
+            plan: 0,
             replanned: false,
+            probing: false,
             ran: false,
-        }
+        };
+        made.reset();
+        made
+    }
+
+    fn reset(&mut self) {
+        self.slots.clear();
+        self.slots
+            .resize_with(self.spec.service.shards.len(), Slot::default);
+        let careful = !self.spec.proven || self.snapshot == Snapshot(0);
+        self.probing = self.is_search() && self.slots.len() > 1 && careful;
+        self.plan = self.shards.len();
+    }
+
+    fn is_search(&self) -> bool {
+        self.spec.kind == CallKind::Search
+    }
+
+    fn end(&self) -> Time {
+        self.spec.deadline - MARGIN
     }
 
     /// Snapshot pinned; calls carry it.
@@ -170,22 +160,54 @@
         self.spec.service.map
     }
 
+    /// Whether some target answered the request, so that it crashes not all.
+    #[must_use]
+    pub const fn proven(&self) -> bool {
+        self.spec.proven
+    }
+
     /// Calls sent so far.
     #[must_use]
-    pub const fn attempts(&self) -> u16 {
-        self.attempts
+    pub fn attempts(&self) -> u16 {
+        u16::try_from(self.shards.len()).unwrap_or(u16::MAX)
     }
 
-    /// Sends the first attempt for each shard.
+    /// Sends the first attempts.
     pub fn start<R: Rng>(&mut self, now: Time, cx: &mut Context<'_, R>) -> Vec<Action> {
         cx.budget.earn(self.slots.len());
         let mut actions = Vec::with_capacity(self.slots.len());
-        for shard in 0..self.slots.len() {
-            self.send(shard, Reason::First, now, cx, &mut actions);
-        }
+        self.launch(Reason::First, now, cx, &mut actions);
         actions
     }
 
+    /// Asks all shards that were not asked, or one more while probing.
+    fn launch<R: Rng>(
+        &mut self,
+        reason: Reason,
+        now: Time,
+        cx: &mut Context<'_, R>,
+        actions: &mut Vec<Action>,
+    ) {
+        let count = self.slots.len();
+        let mut first = 0;
+        if self.probing {
+            first = cx.rng.random_range(0..count);
+        }
+        for step in 0..count {
+            let shard = (first + step) % count;
+            if !self.slots[shard].is_held() {
+                continue;
+            }
+            let sent = self.send(shard, reason, now, cx, actions);
+            if !sent && cx.level != Level::Banned {
+                self.pause(shard, now, cx);
+            }
+            if sent && self.probing {
+                return;
+            }
+        }
+    }
+
     fn send<R: Rng>(
         &mut self,
         shard: usize,
@@ -195,25 +217,38 @@
         actions: &mut Vec<Action>,
     ) -> bool {
         let slot = &mut self.slots[shard];
+        slot.again = None;
+        if cx.level == Level::Banned {
+            slot.failure = Some(Failure::Marked);
+            return false;
+        }
         let fresh: Vec<_> = self.spec.service.shards[shard]
             .iter()
             .copied()
             .filter(|id| (cx.usable)(*id) && !slot.tried.contains(id))
             .collect();
-        let Some(target) = cx.fleet.choose(&fresh, self.snapshot, cx.rng) else {
+        let target = cx.fleet.choose(now, &fresh, self.snapshot, cx.rng);
+        let room = self.shards.len() < usize::from(u16::MAX);
+        let Some(target) = target.filter(|_| room && now < self.spec.deadline - MARGIN) else {
             slot.failure.get_or_insert(Failure::NoConnection);
             return false;
         };
         let sent = Sent {
-            attempt: self.attempts,
+            attempt: u16::try_from(self.shards.len()).unwrap_or(u16::MAX),
             reason,
             target,
             shard: ShardIx(u16::try_from(shard).unwrap_or(u16::MAX)),
             at: now,
         };
-        self.attempts += 1;
+        self.shards.push(sent.shard.0);
         slot.tried.push(target);
+        slot.attempts += 1;
         slot.open.push(sent);
+        slot.hedge = None;
+        if self.spec.kind != CallKind::Once {
+            let delay = cx.hedges.delay(sent.shard, self.spec.hedge);
+            slot.hedge = Some(now + delay);
+        }
         cx.fleet.seen(target).sent();
         actions.push(Action::Send(sent));
         true
@@ -230,60 +265,154 @@
         let Some((shard, sent)) = self.take_open(done.attempt) else {
             return actions;
         };
-        let took = done.result.is_ok().then(|| now.since(sent.at));
-        cx.fleet.seen(sent.target).ended(took, Some(&done.report));
+        let seen = cx.fleet.seen(sent.target);
+        let took = now.since(sent.at);
         match done.result {
             Ok(reply) => {
-                self.ran = true;
-                if self.snapshot == Snapshot(0) && self.spec.kind == CallKind::Search {
-                    self.snapshot = reply.snapshot;
-                }
-                let pinned = reply.snapshot == self.snapshot && reply.map == self.map();
-                if self.spec.kind == CallKind::Search && !pinned {
-                    self.replan(now, cx, &mut actions);
-                    return actions;
-                }
-                let slot = &mut self.slots[shard];
-                slot.reply.get_or_insert((reply.lots, reply.body));
-                self.cancel_open(shard, cx, &mut actions);
+                seen.replied(now, took, &done.report);
+                cx.hedges.note(sent.shard, took);
+                self.on_reply(shard, reply, now, cx, &mut actions);
             }
             Err(error) => {
-                let slot = &mut self.slots[shard];
-                slot.failure = Some(error.failure);
-                slot.unknown |= error.ran == Ran::Unknown;
-                if matches!(error.failure, Failure::SnapshotGone | Failure::MapChanged) {
-                    self.replan(now, cx, &mut actions);
-                } else if self.may_retry(shard, error.ran) && cx.budget.spend() {
-                    self.send(shard, Reason::Retry, now, cx, &mut actions);
+                seen.failed(now, took, error.failure, &done.report);
+                if error.failure == Failure::SnapshotGone {
+                    seen.lacks(self.snapshot);
                 }
+                if error.failure == Failure::Busy {
+                    cx.budget.note_overload(now);
+                }
+                self.on_error(shard, error, now, cx, &mut actions);
             }
         }
         actions
     }
 
     fn take_open(&mut self, attempt: u16) -> Option<(usize, Sent)> {
-        for (shard, slot) in self.slots.iter_mut().enumerate() {
-            if let Some(at) = slot.open.iter().position(|sent| sent.attempt == attempt) {
-                return Some((shard, slot.open.swap_remove(at)));
+        let attempt = usize::from(attempt);
+        if attempt < self.plan {
+            return None;
+        }
+        let shard = usize::from(*self.shards.get(attempt)?);
+        let open = &mut self.slots[shard].open;
+        let at = open
+            .iter()
+            .position(|s| usize::from(s.attempt) == attempt)?;
+        Some((shard, open.swap_remove(at)))
+    }
+
+    fn on_reply<R: Rng>(
+        &mut self,
+        shard: usize,
+        reply: TargetReply,
+        now: Time,
+        cx: &mut Context<'_, R>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.ran = true;
+        self.spec.proven = true;
+        if self.snapshot == Snapshot(0) && self.is_search() {
+            self.snapshot = reply.snapshot;
+        }
+        if self.is_search() && (reply.snapshot != self.snapshot || reply.map != self.map()) {
+            let mut gone = Failure::MapChanged;
+            if reply.map == self.map() {
+                gone = Failure::SnapshotGone;
             }
+            self.on_error(shard, CallError::unknown(gone), now, cx, actions);
+            return;
+        }
+        self.slots[shard].reply = Some((reply.lots, reply.body));
+        self.cancel_open(shard, now, cx, actions);
+        if self.probing {
+            self.probing = false;
+            self.launch(Reason::First, now, cx, actions);
         }
-        None
     }
 
-    fn may_retry(&self, shard: usize, ran: Ran) -> bool {
-        let slot = &self.slots[shard];
-        let repeatable = self.spec.kind != CallKind::Once || ran == Ran::NotRun;
-        repeatable && slot.open.is_empty() && slot.tried.len() < MOST_ATTEMPTS
+    fn on_error<R: Rng>(
+        &mut self,
+        shard: usize,
+        error: CallError,
+        now: Time,
+        cx: &mut Context<'_, R>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.ran |= error.ran == Ran::Unknown;
+        self.slots[shard].failure = Some(error.failure);
+        if self.must_replan(shard, error.failure, cx) {
+            self.replan(now, cx, actions);
+            return;
+        }
+        if !self.slots[shard].open.is_empty() {
+            return;
+        }
+        let repeatable = self.spec.kind != CallKind::Once || error.ran == Ran::NotRun;
+        if repeatable && !is_final(error.failure) {
+            self.retry(shard, error, now, cx, actions);
+        }
+        if self.probing && self.open() == 0 {
+            self.launch(Reason::First, now, cx, actions);
+        }
     }
 
+    /// Tries another replica at once, or all of them again after a pause when
+    /// none is left and the last attempt did not run.
+    fn retry<R: Rng>(
+        &mut self,
+        shard: usize,
+        error: CallError,
+        now: Time,
+        cx: &mut Context<'_, R>,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.is_suspect(cx) && self.open() > 0 {
+            self.pause(shard, now, cx);
+            return;
+        }
+        let free = error.ran == Ran::NotRun && is_unsent(error.failure);
+        if !self.slots[shard].may_send() {
+            return;
+        }
+        if free || cx.budget.spend() {
+            if self.send(shard, Reason::Retry, now, cx, actions) {
+                return;
+            }
+            if !free {
+                cx.budget.refund();
+            }
+        }
+        if error.ran == Ran::NotRun {
+            self.pause(shard, now, cx);
+        }
+    }
+
+    fn pause<R: Rng>(&mut self, shard: usize, now: Time, cx: &mut Context<'_, R>) {
+        let jitter = cx.rng.random_range(0.0..1.0);
+        let end = self.end();
+        self.slots[shard].pause(now, end, jitter);
+    }
+
+    /// A suspect that no target answered runs on one target at a time.
+    fn is_suspect<R: Rng>(&self, cx: &Context<'_, R>) -> bool {
+        cx.level != Level::Clear && !self.spec.proven
+    }
+
+    fn open(&self) -> usize {
+        self.slots.iter().map(|slot| slot.open.len()).sum()
+    }
+
+    /// Drops the open calls of a shard; they may have run.
     fn cancel_open<R: Rng>(
         &mut self,
         shard: usize,
+        now: Time,
         cx: &mut Context<'_, R>,
         actions: &mut Vec<Action>,
     ) {
         for sent in self.slots[shard].open.drain(..) {
-            cx.fleet.seen(sent.target).ended(None, None);
+            self.ran = true;
+            let waited = now.since(sent.at);
+            cx.fleet.seen(sent.target).cancelled(now, waited);
             actions.push(Action::Cancel {
                 attempt: sent.attempt,
                 target: sent.target,
@@ -291,86 +420,193 @@
         }
     }
 
-    /// Starts over with the newest snapshot that all shards hold, once.
-    fn replan<R: Rng>(&mut self, now: Time, cx: &mut Context<'_, R>, actions: &mut Vec<Action>) {
-        if self.replanned {
-            return;
+    /// Whether the plan does not hold any more: the map in force is newer, or
+    /// no replica of the shard is known to hold the snapshot.
+    fn must_replan<R: Rng>(&self, shard: usize, failure: Failure, cx: &Context<'_, R>) -> bool {
+        if self.replanned || !self.is_search() {
+            return false;
+        }
+        match failure {
+            Failure::MapChanged => cx.current.is_some_and(|now| now.map > self.map()),
+            Failure::SnapshotGone => {
+                let slot = &self.slots[shard];
+                let left = |id: &TargetId| {
+                    let fresh = (cx.usable)(*id) && !slot.tried.contains(id);
+                    fresh && cx.fleet.seen(*id).may_hold(self.snapshot)
+                };
+                !self.spec.service.shards[shard].iter().any(left)
+            }
+            _ => false,
         }
+    }
+
+    /// Starts over, once, on the map in force and the newest snapshot that
+    /// all shards hold. Replies of the earlier plan are not merged.
+    fn replan<R: Rng>(&mut self, now: Time, cx: &mut Context<'_, R>, actions: &mut Vec<Action>) {
         self.replanned = true;
-        self.snapshot = cx.fleet.common_snapshot(&self.spec.service.shards);
         for shard in 0..self.slots.len() {
-            self.cancel_open(shard, cx, actions);
-            self.slots[shard] = Slot::default();
-            self.send(shard, Reason::Retry, now, cx, actions);
+            self.cancel_open(shard, now, cx, actions);
+        }
+        if let Some(current) = cx.current {
+            self.spec.service = Arc::clone(current);
+        }
+        let mut common = cx.fleet.common_snapshot(&self.spec.service.shards);
+        if common <= self.snapshot {
+            common = Snapshot(0);
         }
+        self.snapshot = common;
+        self.reset();
+        self.launch(Reason::Retry, now, cx, actions);
     }
 
-    /// Hedges calls that are slow; call it at [`Query::wake_at`].
+    /// Hedges slow calls and repeats refused ones; call it at
+    /// [`Query::wake_at`].
     pub fn on_tick<R: Rng>(&mut self, now: Time, cx: &mut Context<'_, R>) -> Vec<Action> {
         let mut actions = Vec::new();
-        if self.spec.kind == CallKind::Once {
-            return actions;
-        }
         for shard in 0..self.slots.len() {
-            let slot = &self.slots[shard];
-            let [only] = slot.open.as_slice() else {
+            let slot = &mut self.slots[shard];
+            if slot.again.is_some_and(|at| at <= now) {
+                self.again(shard, now, cx, &mut actions);
                 continue;
-            };
-            let late = now.since(only.at) >= self.spec.hedge;
-            if late && slot.tried.len() < MOST_ATTEMPTS && cx.budget.spend() {
-                self.send(shard, Reason::Hedge, now, cx, &mut actions);
+            }
+            if slot.hedge.is_some_and(|at| at <= now) {
+                slot.hedge = None;
+                self.hedge(shard, now, cx, &mut actions);
             }
         }
         actions
     }
 
+    fn again<R: Rng>(
+        &mut self,
+        shard: usize,
+        now: Time,
+        cx: &mut Context<'_, R>,
+        actions: &mut Vec<Action>,
+    ) {
+        let failure = self.slots[shard].failure.unwrap_or(Failure::Busy);
+        if self.must_replan(shard, failure, cx) {
+            self.replan(now, cx, actions);
+            return;
+        }
+        let most = if self.is_suspect(cx) { 1 } else { MOST_FIRST };
+        let careful = self.probing || self.is_suspect(cx);
+        let blocked = careful && self.open() >= most;
+        let free = is_unsent(failure);
+        if blocked || !(free || cx.budget.spend()) {
+            self.slots[shard].again = None;
+            self.pause(shard, now, cx);
+            return;
+        }
+        if !self.send(shard, Reason::Retry, now, cx, actions) {
+            if !free {
+                cx.budget.refund();
+            }
+            self.pause(shard, now, cx);
+        }
+    }
+
+    fn hedge<R: Rng>(
+        &mut self,
+        shard: usize,
+        now: Time,
+        cx: &mut Context<'_, R>,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.is_suspect(cx) || self.slots[shard].open.is_empty() {
+            return;
+        }
+        if self.probing {
+            if self.open() < MOST_FIRST {
+                self.launch(Reason::First, now, cx, actions);
+            }
+            return;
+        }
+        let unproven = !self.spec.proven && self.slots[shard].open.len() >= MOST_FIRST;
+        let marked = cx.level != Level::Clear;
+        let off = cx.budget.is_overloaded(now) || unproven || marked;
+        if off || !self.slots[shard].may_send() || !self.has_idle(shard, now, cx) {
+            return;
+        }
+        if cx.budget.spend() && !self.send(shard, Reason::Hedge, now, cx, actions) {
+            cx.budget.refund();
+        }
+    }
+
+    /// Whether some replica that was not tried has no calls queued.
+    fn has_idle<R: Rng>(&self, shard: usize, now: Time, cx: &Context<'_, R>) -> bool {
+        let tried = &self.slots[shard].tried;
+        let idle = |id: &TargetId| !tried.contains(id) && !cx.fleet.seen(*id).is_full(now);
+        self.spec.service.shards[shard].iter().any(idle)
+    }
+
     /// Point at which something must be decided without a reply.
     #[must_use]
     pub fn wake_at(&self, now: Time) -> Time {
-        let end = self.spec.deadline - MARGIN;
-        let mut wake = end;
+        let mut wake = self.end();
         for slot in &self.slots {
-            let [only] = slot.open.as_slice() else {
-                continue;
-            };
-            let hedge = only.at + self.spec.hedge;
-            if hedge > now && self.spec.kind != CallKind::Once {
-                wake = wake.min(hedge);
+            if let Some(at) = slot.wake_at() {
+                wake = wake.min(at);
             }
         }
-        wake
+        let patience = self.patience_end();
+        if self.is_partial_accepted() && patience > now {
+            wake = wake.min(patience);
+        }
+        wake.max(now)
+    }
+
+    fn is_partial_accepted(&self) -> bool {
+        (1..100).contains(&self.spec.least)
+    }
+
+    /// Point at which an answer with enough coverage waits no longer.
+    fn patience_end(&self) -> Time {
+        let sent = self.slots.iter().filter(|s| !s.is_settled());
+        let last = sent.filter_map(|s| s.open.iter().map(|o| o.at).min()).max();
+        match last {
+            Some(last) if !self.probing => last + self.spec.hedge * PATIENCE,
+            _ => self.end(),
+        }
     }
 
-    /// The verdict, once every shard is settled or time has run out.
+    /// The verdict, once every shard is settled, enough of them are, too many
+    /// failed, or time has run out.
     pub fn verdict(&mut self, now: Time) -> Option<Verdict> {
-        let late = now >= self.spec.deadline - MARGIN;
-        if !late && !self.slots.iter().all(Slot::settled) {
+        let total = self.slots.len();
+        let failed = self.slots.iter().filter(|s| s.is_failed()).count();
+        let settled = self.slots.iter().filter(|s| s.is_settled()).count();
+        let reached = settled - failed;
+        let hopeless = !self.covers(total - failed, total);
+        let patient =
+            self.is_partial_accepted() && self.covers(reached, total) && now >= self.patience_end();
+        let done = settled == total || hopeless || patient || now >= self.end();
+        if !done {
             return None;
         }
-        let total = self.slots.len();
-        let reached = self.slots.iter().filter(|s| s.reply.is_some()).count();
-        let enough = reached * 100 >= usize::from(self.spec.least) * total && reached > 0;
-        Some(if enough {
+        Some(if self.covers(reached, total) {
             Verdict::Answer(self.merge(reached, total))
         } else {
             self.refuse(reached, total)
         })
     }
 
+    fn covers(&self, reached: usize, total: usize) -> bool {
+        reached > 0 && reached * 100 >= usize::from(self.spec.least) * total
+    }
+
     fn refuse(&self, reached: usize, total: usize) -> Verdict {
-        let sent = |s: &Slot| s.unknown || s.reply.is_some() || !s.open.is_empty();
-        let ran = if self.ran || self.slots.iter().any(sent) {
-            Ran::Unknown
-        } else {
-            Ran::NotRun
-        };
-        let failure = self.slots.iter().find_map(|s| match s.reply {
-            None => Some(s.failure.unwrap_or(Failure::TimedOut)),
-            Some(_) => None,
-        });
+        let mut ran = Ran::NotRun;
+        if self.ran || self.open() > 0 {
+            ran = Ran::Unknown;
+        }
+        let missing = self.slots.iter().filter(|s| s.reply.is_none());
+        let failures = missing.map(|s| s.failure.unwrap_or(Failure::TimedOut));
         Verdict::Refused {
             ran,
-            failure: failure.unwrap_or(Failure::TimedOut),
+            failure: failures
+                .max_by_key(|f| weight(*f))
+                .unwrap_or(Failure::TimedOut),
             reached: (reached, total),
         }
     }
@@ -394,10 +630,25 @@
                 }),
             }
         }
-        merged.lots.sort_by(|a, b| b.score.total_cmp(&a.score));
-        let mut ids = HashSet::new();
-        merged.lots.retain(|lot| ids.insert(lot.id.clone()));
-        merged.lots.truncate(self.spec.limit);
+        merged.finish(self.spec.limit);
         merged
     }
 }
+
+/// Whether another attempt cannot end better.
+const fn is_final(failure: Failure) -> bool {
+    matches!(failure, Failure::Marked | Failure::Expired)
+}
+
+/// Whether such a failure, when not run, cost its target nothing, so that
+/// another attempt is no extra load.
+const fn is_unsent(failure: Failure) -> bool {
+    matches!(
+        failure,
+        Failure::NotOwner
+            | Failure::DomainOut
+            | Failure::NoConnection
+            | Failure::StaleEpoch
+            | Failure::Draining
+    )
+}
--- a/crates/tier/src/owner.rs
+++ b/crates/tier/src/owner.rs
@@ -3,27 +3,38 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use crossbeam::queue::SegQueue;
+use heatherrun_kernel::control::Suspicion;
 use heatherrun_kernel::message::{
     Batch, BatchCall, BatchReply, CallError, CallResult, Cancel, Collect, Done, Failure,
     OwnerReport, TargetCall,
 };
-use heatherrun_kernel::port::{Endpoint, Targets};
-use heatherrun_kernel::view::Target;
+use heatherrun_kernel::port::Targets;
 use heatherrun_kernel::{CallId, Clock, Epoch, QueryId, TargetId, Time, ViewCell};
-use heatherrun_policy::gate::{Ask, Gate, Step};
-use tokio::sync::{Notify, oneshot};
+use heatherrun_policy::gate::Ask;
+use heatherrun_policy::marks::Level;
+use tokio::sync::Notify;
 
+use crate::lane::Lane;
 use crate::suspects::Suspects;
 
 /// Time that an unfetched batch is kept after its deadline.
 const KEEP: Duration = Duration::from_millis(500);
 
+/// Batches between two sweeps of those that nobody fetched.
+const SWEEP_EVERY: u64 = 256;
+
+/// Part of the time left that is kept for the way back from the target.
+const HOP: Duration = Duration::from_millis(1);
+
 /// This node's right to send to one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Right {
@@ -39,26 +50,45 @@
 /// Looks up this node's right to a target at a point in time.
 pub type RightFn = Arc<dyn Fn(TargetId, Time) -> Option<Right> + Send + Sync>;
 
-/// One target with its gate.
-struct Lane {
-    target: Arc<Target>,
-    state: Mutex<LaneState>,
-}
-
-struct LaneState {
-    gate: Gate,
-    waiting: HashMap<CallId, oneshot::Sender<()>>,
-}
-
 /// A batch is named by its query and its first attempt.
 type BatchKey = (QueryId, u16);
 
 /// The calls of one batch on their way.
-#[derive(Default)]
 struct Open {
+    until: Time,
     done: SegQueue<Done>,
+    marks: SegQueue<Suspicion>,
     changed: Notify,
-    calls: Mutex<HashMap<u16, TargetId>>,
+    calls: Mutex<HashMap<u16, Pending>>,
+}
+
+/// One call of a batch that is not done.
+#[derive(Clone, Copy)]
+struct Pending {
+    target: TargetId,
+    cancelled: bool,
+}
+
+/// One call on its way to its target.
+struct Run<'a> {
+    batch: &'a Batch,
+    call: BatchCall,
+    open: &'a Open,
+    deadline: Time,
+}
+
+impl Run<'_> {
+    fn id(&self) -> CallId {
+        CallId {
+            query: self.batch.query,
+            attempt: self.call.attempt,
+        }
+    }
+
+    fn is_cancelled(&self) -> bool {
+        let calls = lock(&self.open.calls);
+        calls.get(&self.call.attempt).is_none_or(|p| p.cancelled)
+    }
 }
 
 /// Sends calls to the targets this node owns.
@@ -70,6 +100,7 @@
     suspects: Arc<Suspects>,
     lanes: ArcSwap<HashMap<TargetId, Arc<Lane>>>,
     open: Mutex<BTreeMap<BatchKey, Arc<Open>>>,
+    batches: AtomicU64,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -88,6 +119,7 @@
             suspects: Arc::new(Suspects::new(clock)),
             lanes: ArcSwap::default(),
             open: Mutex::default(),
+            batches: AtomicU64::new(0),
         })
     }
 
@@ -107,37 +139,52 @@
     pub async fn search(self: &Arc<Self>, batch: Batch) -> BatchReply {
         let deadline = self.clock.now() + batch.left;
         let flush = self.clock.now() + batch.flush;
-        let open = self.enlist(&batch);
         let key = batch_key(&batch);
+        let open = self.enlist(&batch, deadline);
         let batch = Arc::new(batch);
-        let body = Arc::clone(&batch.body);
         for call in batch.calls.iter().copied() {
             let owner = Arc::clone(self);
-            let (batch, body, open) = (Arc::clone(&batch), Arc::clone(&body), Arc::clone(&open));
+            let (batch, open) = (Arc::clone(&batch), Arc::clone(&open));
             tokio::spawn(async move {
-                let done = owner.run(&batch, call, body, deadline).await;
+                let run = Run {
+                    batch: &batch,
+                    call,
+                    open: &open,
+                    deadline,
+                };
+                let done = owner.run(&run).await;
                 let attempt = done.attempt;
                 open.done.push(done);
                 lock(&open.calls).remove(&attempt);
                 open.changed.notify_one();
             });
         }
-        self.spawn_expiry(key, deadline);
         self.drain(key, &open, flush).await
     }
 
-    fn enlist(&self, batch: &Batch) -> Arc<Open> {
-        let open = Arc::clone(lock(&self.open).entry(batch_key(batch)).or_default());
-        lock(&open.calls).extend(batch.calls.iter().map(|c| (c.attempt, c.target)));
-        open
-    }
-
-    fn spawn_expiry(self: &Arc<Self>, key: BatchKey, deadline: Time) {
-        let owner = Arc::clone(self);
-        tokio::spawn(async move {
-            owner.clock.sleep_until(deadline + KEEP).await;
-            lock(&owner.open).remove(&key);
+    fn enlist(&self, batch: &Batch, deadline: Time) -> Arc<Open> {
+        let pending = |c: &BatchCall| {
+            let pending = Pending {
+                target: c.target,
+                cancelled: false,
+            };
+            (c.attempt, pending)
+        };
+        let open = Arc::new(Open {
+            until: deadline + KEEP,
+            done: SegQueue::new(),
+            marks: SegQueue::new(),
+            changed: Notify::new(),
+            calls: Mutex::new(batch.calls.iter().map(pending).collect()),
         });
+        let mut all = lock(&self.open);
+        let count = self.batches.fetch_add(1, Ordering::Relaxed);
+        if count.is_multiple_of(SWEEP_EVERY) {
+            let now = self.clock.now();
+            all.retain(|_, open| open.until > now);
+        }
+        all.insert(batch_key(batch), Arc::clone(&open));
+        open
     }
 
     /// Fetches outcomes of a batch that were pending.
@@ -155,13 +202,13 @@
     async fn drain(&self, key: BatchKey, open: &Open, flush: Time) -> BatchReply {
         let mut reply = BatchReply::default();
         loop {
+            let pending = lock(&open.calls).len();
             while let Some(done) = open.done.pop() {
                 reply.done.push(done);
             }
-            let pending = lock(&open.calls).len();
             reply.pending = u16::try_from(pending).unwrap_or(u16::MAX);
             let late = self.clock.now() >= flush;
-            if (pending == 0 && open.done.is_empty()) || (late && !reply.done.is_empty()) {
+            if pending == 0 || (late && !reply.done.is_empty()) {
                 break;
             }
             tokio::select! {
@@ -170,6 +217,9 @@
                 () = self.clock.sleep_until(flush), if !late => {}
             }
         }
+        while let Some(mark) = open.marks.pop() {
+            reply.marks.push(mark);
+        }
         reply.revision = self.view.load().revision;
         if reply.pending == 0 {
             lock(&self.open).remove(&key);
@@ -182,12 +232,14 @@
         let batches = (cancel.query, 0)..=(cancel.query, u16::MAX);
         let mut calls = Vec::new();
         for open in lock(&self.open).range(batches).map(|(_, open)| open) {
-            calls.extend(lock(&open.calls).iter().map(|(a, t)| (*a, *t)));
+            for (attempt, pending) in lock(&open.calls).iter_mut() {
+                if cancel.attempts.is_empty() || cancel.attempts.contains(attempt) {
+                    pending.cancelled = true;
+                    calls.push((*attempt, pending.target));
+                }
+            }
         }
         for (attempt, target) in calls {
-            if !cancel.attempts.is_empty() && !cancel.attempts.contains(&attempt) {
-                continue;
-            }
             let id = CallId {
                 query: cancel.query,
                 attempt,
@@ -200,196 +252,172 @@
         let Some(lane) = self.lanes.load().get(&target).cloned() else {
             return;
         };
-        let withdrawn = {
-            let mut state = lock(&lane.state);
-            state.waiting.remove(&id);
-            state.gate.withdraw(id)
-        };
-        if !withdrawn {
-            (self.targets.cancel)((endpoint(&lane.target), target, id)).await;
+        if !lane.withdraw(id) {
+            (self.targets.cancel)((lane.endpoint(), target, id)).await;
         }
     }
 
-    async fn run(&self, batch: &Batch, call: BatchCall, body: Arc<[u8]>, deadline: Time) -> Done {
+    async fn run(self: &Arc<Self>, run: &Run<'_>) -> Done {
         let start = self.clock.now();
         let mut report = OwnerReport::default();
-        let result = match self.lane(call.target) {
+        let result = match self.lane(run.call.target) {
             None => Err(CallError::not_run(Failure::NotOwner)),
-            Some(lane) => {
-                let result = self.run_in(&lane, batch, call, body, deadline).await;
-                report = lock(&lane.state).gate.report();
+            Some((lane, right)) => {
+                let result = self.run_in(&lane, run, right).await;
+                report = lane.report();
                 result
             }
         };
         Done {
-            attempt: call.attempt,
+            attempt: run.call.attempt,
             result,
             took: self.clock.now().since(start),
             report,
         }
     }
 
-    async fn run_in(
-        &self,
-        lane: &Lane,
-        batch: &Batch,
-        call: BatchCall,
-        body: Arc<[u8]>,
-        deadline: Time,
-    ) -> CallResult {
-        let id = CallId {
-            query: batch.query,
-            attempt: call.attempt,
-        };
-        self.enter(lane, id, batch, deadline).await?;
-        let result = match self.check(lane, call) {
-            Err(failure) => Err(CallError::not_run(failure)),
-            Ok(right) => {
-                let request = TargetCall {
-                    id,
-                    target: call.target,
-                    service: batch.service,
-                    shard: call.shard,
-                    kind: batch.kind,
-                    snapshot: batch.snapshot,
-                    map: batch.map,
-                    epoch: right.epoch,
-                    left: deadline.left(self.clock.now()),
-                    body,
-                };
-                (self.targets.call)((endpoint(&lane.target), request)).await
-            }
-        };
-        self.leave(lane, id, &result);
-        result
-    }
-
-    /// Waits for a place on the target.
-    async fn enter(
-        &self,
-        lane: &Lane,
-        id: CallId,
-        batch: &Batch,
-        deadline: Time,
-    ) -> Result<(), CallError> {
+    async fn run_in(self: &Arc<Self>, lane: &Arc<Lane>, run: &Run<'_>, right: Right) -> CallResult {
+        let id = run.id();
         let ask = Ask {
             id,
-            class: batch.class,
-            deadline,
+            class: run.batch.class,
+            deadline: run.deadline,
         };
-        let turn = {
-            let mut state = lock(&lane.state);
-            match state.gate.ask(self.clock.now(), ask) {
-                Step::Send => return Ok(()),
-                Step::Refuse(failure) => return Err(CallError::not_run(failure)),
-                Step::Wait => {
-                    let (tell, turn) = oneshot::channel();
-                    state.waiting.insert(id, tell);
-                    turn
-                }
+        lane.enter(ask, right.share).await?;
+        let right = match self.check(lane, run) {
+            Ok(right) => right,
+            Err(failure) => {
+                lane.unsent(id);
+                return Err(CallError::not_run(failure));
             }
         };
-        tokio::select! {
-            biased;
-            told = turn => told.map_err(|_| CallError::not_run(Failure::Cancelled)),
-            () = self.clock.sleep_until(deadline) => self.give_up(lane, id),
+        let left = run.deadline.left(self.clock.now());
+        let request = TargetCall {
+            id,
+            target: run.call.target,
+            service: run.batch.service,
+            shard: run.call.shard,
+            kind: run.batch.kind,
+            snapshot: run.batch.snapshot,
+            map: run.batch.map,
+            epoch: right.epoch,
+            left: left.saturating_sub(HOP),
+            body: Arc::clone(&run.batch.body),
+        };
+        let result = (self.targets.call)((lane.endpoint(), request)).await;
+        self.note(lane, run, &result);
+        if matches!(&result, Err(e) if e.failure == Failure::TimedOut) {
+            self.end_late(lane, run, result.clone());
+        } else {
+            lane.leave(id, &result);
         }
+        result
     }
 
-    /// Stops waiting; the turn may have come at the same moment.
-    fn give_up(&self, lane: &Lane, id: CallId) -> Result<(), CallError> {
-        let mut state = lock(&lane.state);
-        state.waiting.remove(&id);
-        if !state.gate.withdraw(id) {
-            drop(state);
-            let expired = Err(CallError::not_run(Failure::Expired));
-            self.leave(lane, id, &expired);
+    /// Keeps the place of a call that timed out until its target was told to
+    /// stop, since it may still run there.
+    fn end_late(self: &Arc<Self>, lane: &Arc<Lane>, run: &Run<'_>, result: CallResult) {
+        let owner = Arc::clone(self);
+        let lane = Arc::clone(lane);
+        let (id, target) = (run.id(), run.call.target);
+        tokio::spawn(async move {
+            (owner.targets.cancel)((lane.endpoint(), target, id)).await;
+            lane.leave(id, &result);
+        });
+    }
+
+    /// Notes what the outcome says of the request's fingerprint. A request
+    /// that succeeded on this target a short while ago is not suspected.
+    fn note(&self, lane: &Lane, run: &Run<'_>, result: &CallResult) {
+        let print = run.batch.print;
+        let now = self.clock.now();
+        let failure = match result {
+            Ok(_) => return lane.proofs.note(now, print),
+            Err(error) => error.failure,
+        };
+        if failure != Failure::ConnectionLost || lane.proofs.holds(now, print) {
+            return;
         }
-        Err(CallError::not_run(Failure::Expired))
+        let mark = Suspicion {
+            print,
+            target: run.call.target,
+            shard: run.call.shard,
+            call: run.id(),
+            proven: run.batch.proven,
+            cleared: false,
+        };
+        run.open.marks.push(mark);
+        self.suspects.note(&[mark]);
     }
 
     /// The last check before the send, on the view and time of this moment.
-    fn check(&self, lane: &Lane, call: BatchCall) -> Result<Right, Failure> {
+    fn check(&self, lane: &Lane, run: &Run<'_>) -> Result<Right, Failure> {
+        let now = self.clock.now();
+        if run.is_cancelled() {
+            return Err(Failure::Cancelled);
+        }
+        if run.deadline <= now + HOP {
+            return Err(Failure::Expired);
+        }
+        if self.suspects.level(run.batch.print) == Level::Banned {
+            return Err(Failure::Marked);
+        }
         let view = self.view.load();
-        let target = view.targets.get(&call.target).ok_or(Failure::NotOwner)?;
-        if !view.admits(target) || !view.admits(&lane.target) {
+        let id = run.call.target;
+        let target = view.targets.get(&id).ok_or(Failure::NotOwner)?;
+        if !view.admits(target) || !lane.follow(target) {
             return Err(Failure::DomainOut);
         }
-        let right = (self.right)(call.target, self.clock.now()).ok_or(Failure::NotOwner)?;
-        if call.epoch > right.epoch {
+        let right = (self.right)(id, now).ok_or(Failure::NotOwner)?;
+        if run.call.epoch > right.epoch {
             return Err(Failure::StaleEpoch);
         }
         Ok(right)
     }
 
-    fn leave(&self, lane: &Lane, id: CallId, result: &CallResult) {
-        let now = self.clock.now();
-        let mut state = lock(&lane.state);
-        state.gate.ended(now, id, result);
-        while let Some(next) = state.gate.next(now) {
-            let told = state.waiting.remove(&next).map(|tell| tell.send(()));
-            if told != Some(Ok(())) {
-                let gone = Err(CallError::not_run(Failure::Cancelled));
-                state.gate.ended(now, next, &gone);
-            }
-        }
-    }
-
-    fn lane(&self, id: TargetId) -> Option<Arc<Lane>> {
-        (self.right)(id, self.clock.now())?;
+    /// The lane of a target that this node holds the right to.
+    fn lane(&self, id: TargetId) -> Option<(Arc<Lane>, Right)> {
+        let right = (self.right)(id, self.clock.now())?;
         let view = self.view.load();
         let target = view.targets.get(&id)?;
         if let Some(lane) = self.lanes.load().get(&id)
-            && lane.target == *target
+            && lane.follow(target)
         {
-            return Some(Arc::clone(lane));
+            return Some((Arc::clone(lane), right));
         }
-        let made = Arc::new(Lane {
-            target: Arc::clone(target),
-            state: Mutex::new(LaneState {
-                gate: Gate::new(most_in_flight(target)),
-                waiting: HashMap::new(),
-            }),
-        });
+        let made = Arc::new(Lane::new(self.clock, Arc::clone(target)));
         self.lanes.rcu(|old| {
             let mut next = HashMap::clone(old);
             let current = next.entry(id).or_insert_with(|| Arc::clone(&made));
-            if current.target != *target {
+            if !current.follow(target) {
                 *current = Arc::clone(&made);
             }
             next
         });
-        self.lanes.load().get(&id).cloned()
+        let lane = self.lanes.load().get(&id).cloned();
+        lane.map(|lane| (lane, right))
     }
 
     /// Load of each target that this node has sent to.
     #[must_use]
     pub fn reports(&self) -> Vec<(TargetId, OwnerReport)> {
         let lanes = self.lanes.load();
-        let report = |(id, lane): (&TargetId, &Arc<Lane>)| (*id, lock(&lane.state).gate.report());
-        lanes.iter().map(report).collect()
+        lanes
+            .iter()
+            .map(|(id, lane)| (*id, lane.report()))
+            .collect()
     }
 
     /// Calls of batches that are not done.
     #[must_use]
     pub fn busy(&self) -> usize {
-        lock(&self.open).len()
+        let now = self.clock.now();
+        let mut all = lock(&self.open);
+        all.retain(|_, open| open.until > now);
+        all.len()
     }
 }
 
 fn batch_key(batch: &Batch) -> BatchKey {
     (batch.query, batch.calls.first().map_or(0, |c| c.attempt))
 }
-
-fn endpoint(target: &Target) -> Endpoint {
-    Endpoint {
-        address: target.address,
-        connections: target.connections,
-    }
-}
-
-/// Calls that may be in flight on a warm target: its slots and as many on
-/// the wire, with half of its connections left for a successor.
-fn most_in_flight(target: &Target) -> u16 {
-    (target.slots * 2).min(target.connections / 2).max(1)
-}
--- a/crates/tier/src/refuse.rs
+++ b/crates/tier/src/refuse.rs
@@ -4,7 +4,7 @@
 use heatherrun_schema::v1;
 
 /// Milliseconds after which a refused caller may come again.
-const RETRY_MS: u32 = 200;
+pub(crate) const RETRY_MS: u32 = 200;
 
 /// Makes a refusal; `ran` is told as it is known.
 #[must_use]
@@ -49,3 +49,12 @@
     made.retry_ms = RETRY_MS;
     made
 }
+
+/// Makes a refusal say that the request may have run: the record of a
+/// once-only request was not asked, and an earlier sending of its id may have.
+#[must_use]
+pub fn unknown_before_claim(mut refused: Box<v1::Refusal>) -> Box<v1::Refusal> {
+    refused.ran = v1::Ran::Unknown as i32;
+    "repeat with the same id, which is always safe".clone_into(&mut refused.remedy);
+    refused
+}
