--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -30,6 +30,10 @@
 /// not.
 const JUMP: usize = 3;
 
+/// Factor by which sends to a far target may come faster than its limit makes
+/// them on average.
+const PACE: f64 = 1.25;
+
 /// Weight of one call in the moving averages, as a divisor.
 const SMOOTHING: u32 = 8;
 
@@ -67,6 +71,8 @@
     slow: VecDeque<bool>,
     tokens: f64,
     filled: Time,
+    /// Whether a send was put off for want of a token since a call ended.
+    paced: bool,
 }
 
 impl Limit {
@@ -83,6 +89,7 @@
             slow: VecDeque::with_capacity(RECENT),
             tokens: f64::from(slots * BEARS_FACTOR),
             filled: Time::default(),
+            paced: false,
         };
         made.turn_cold();
         made
@@ -147,11 +154,12 @@
             self.filled = now;
             return true;
         }
-        let rate = self.allowed / usual;
+        let rate = self.allowed / usual * PACE;
         let gain = now.since(self.filled).as_secs_f64() * rate;
         self.tokens = (self.tokens + gain).min(bears - f64::from(self.slots) / 2.0);
         self.filled = now;
         if self.tokens < 1.0 {
+            self.paced = true;
             return false;
         }
         self.tokens -= 1.0;
@@ -175,6 +183,7 @@
             return;
         }
         self.adapt(seen.flying);
+        self.paced = false;
     }
 
     /// Notes whether one call was slow while `overdue` others in flight are
@@ -231,7 +240,7 @@
     }
 
     fn is_used(&self, flying: usize) -> bool {
-        flying + 1 >= usize::from(self.now(100))
+        self.paced || flying + 1 >= usize::from(self.now(100))
     }
 
     /// Calls that wait at the target, by how much longer calls take than
