Leaders, heartbeats and grants in place of polling the store

Cause: each node polled the store and worked owners out by itself, so two nodes could own one target and store calls grew with nodes. Change: a lease elects one leader for each failure domain; nodes beat to it, and its answers carry grants and what changed. Nodes have begin_stop and stopped.

--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -166,6 +166,16 @@
         ids
     }
 
+    /// Removes a service and its targets.
+    pub fn remove_service(&mut self, id: ServiceId) {
+        let Some(gone) = self.services.remove(&id) else {
+            return;
+        };
+        for target in gone.shards.iter().flatten() {
+            self.targets.remove(target);
+        }
+    }
+
     /// Sets the failure domains as declared.
     pub fn set_domains(&mut self, domains: &[v1::FailureDomain], revision: Revision) {
         self.out = domains
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`operate`] serves the operators' calls.
 
 pub mod addresses;
+pub mod control;
 pub mod entry;
 pub mod node;
 pub mod operate;
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -1,31 +1,26 @@
-//! One node: its view, its entry, its owner, and the loop that keeps the
-//! view in step with the platform.
+//! One node: its view, its entry, its owner, and its control side.
 
 use std::{sync::Arc, time::Duration};
 
-use heatherrun_control::rendezvous;
+use arc_swap::ArcSwap;
+use heatherrun_control::rights::Rights;
 use heatherrun_kernel::control::{Answer, Ask};
 use heatherrun_kernel::message::NodeInfo;
-use heatherrun_kernel::port::{KeyValue, Peers, Platform, StoreCall, StoreReply, Targets};
-use heatherrun_kernel::port::{Vm, VmState};
-use heatherrun_kernel::view::{Member, Owner as OwnerOf, Standing};
-use heatherrun_kernel::{Clock, DomainId, Epoch, NodeId, Revision, TargetId, View, ViewCell};
-use heatherrun_schema::v1;
+use heatherrun_kernel::port::{Peers, Platform, Targets};
+use heatherrun_kernel::{Clock, Revision, TargetId, Time, ViewCell};
 
+use crate::control::{Control, Parts};
 use crate::entry::Entry;
-use crate::owner::{Owner, Right};
+use crate::owner::{Owner, Right, RightFn};
 
-/// Prefix of all keys of the configuration.
-pub const CONFIG: &str = "config/";
+/// Time between two looks at whether a node has settled or stopped.
+const LOOK: Duration = Duration::from_millis(20);
 
-/// Key of the failure domains.
-pub const DOMAINS: &str = "config/domains";
+/// Longest time to settle.
+const SETTLE: Duration = Duration::from_secs(20);
 
-/// Prefix of the keys of services.
-pub const SERVICES: &str = "config/service/";
-
-/// Time between two looks at the platform.
-const PERIOD: Duration = Duration::from_millis(500);
+/// Time that a caller may take to come by an address it kept.
+const GRACE: Duration = Duration::from_secs(1);
 
 /// One node.
 pub struct Node {
@@ -39,6 +34,8 @@
     pub entry: Arc<Entry>,
     /// Owner.
     pub owner: Arc<Owner>,
+    /// Control side.
+    pub control: Arc<Control>,
     /// Platform.
     pub platform: Platform,
     /// Seconds that callers may keep an address answer.
@@ -57,33 +54,35 @@
         keep_secs: u32,
     ) -> Arc<Self> {
         let view = Arc::new(ViewCell::default());
-        let rights = Arc::clone(&view);
-        let me = info.id;
-        let right = move |target: TargetId, _now| {
-            let view = rights.load();
-            let owner = view.owners.get(&target)?;
-            let right = Right {
-                epoch: owner.epoch,
-                share: 100,
-                since: 0,
-            };
-            (owner.node == me).then_some(right)
-        };
-        let owner = Owner::new(clock, Arc::clone(&view), targets, Arc::new(right));
+        let rights = Arc::new(ArcSwap::from_pointee(Rights::default()));
+        let right = right_fn(Arc::clone(&rights));
+        let owner = Owner::new(clock, Arc::clone(&view), targets, right);
         let entry = Entry::new(
             clock,
-            me,
+            info.id,
             Arc::clone(&view),
-            peers,
+            peers.clone(),
             Arc::clone(&owner),
             info.started,
         );
+        let loaded = Arc::clone(&entry);
+        let control = Control::new(Parts {
+            info: info.clone(),
+            clock,
+            view: Arc::clone(&view),
+            rights,
+            owner: Arc::clone(&owner),
+            load: Arc::new(move || loaded.load().1),
+            peers,
+            platform: platform.clone(),
+        });
         Arc::new(Self {
             info,
             clock,
             view,
             entry,
             owner,
+            control,
             platform,
             keep_secs,
         })
@@ -92,104 +91,71 @@
     /// Answers a control message of a peer.
     #[must_use]
     pub fn answer(&self, message: &Ask) -> Answer {
-        log::debug!(node = self.info.name.as_str(), message:?; "control.refused");
-        Answer::Refused(None)
+        self.control.answer(message)
     }
 
-    /// Keeps the view in step with the platform, for ever.
+    /// Runs the node's control side, for ever.
     pub async fn follow(&self) {
-        let mut seen = Revision(0);
-        loop {
-            seen = self.refresh(seen).await;
-            tokio::time::sleep(PERIOD).await;
-        }
+        self.control.run().await;
     }
 
-    /// Takes what changed after `seen`; returns the newest revision taken.
-    pub async fn refresh(&self, seen: Revision) -> Revision {
-        let watch = StoreCall::Watch {
-            prefix: CONFIG.to_owned(),
-            after: seen,
-            wait: Duration::ZERO,
-        };
-        let mut newest = seen;
-        let mut changes = Vec::new();
-        if let Ok(StoreReply::Changes(found, revision)) = (self.platform.call)(watch).await {
-            newest = revision;
-            changes = found;
-        }
-        let vms = match (self.platform.call)(StoreCall::Vms).await {
-            Ok(StoreReply::Vms(vms)) => Some(vms),
-            _ => None,
-        };
-        let now = self.clock.now();
-        self.view.update(|view| {
-            for change in &changes {
-                take(view, change);
-            }
-            if let Some(vms) = &vms {
-                set_members(view, vms);
-                view.fresh = now;
+    /// Waits until the configuration at `revision` or newer is in force here
+    /// and each target has an owner; returns the revision in force.
+    pub async fn refresh(&self, revision: Revision) -> Revision {
+        let end = self.clock.now() + SETTLE;
+        while self.clock.now() < end {
+            let view = self.view.load_full();
+            let owned = view.targets.keys().all(|t| view.owners.contains_key(t));
+            if owned && !view.targets.is_empty() && view.revision >= revision {
+                return view.revision;
             }
-            set_owners(view);
-        });
-        newest
+            tokio::time::sleep(LOOK).await;
+        }
+        self.view.load().revision
     }
-}
 
-fn take(view: &mut View, change: &KeyValue) {
-    let value = change.value.as_deref().unwrap_or_default();
-    if change.key == DOMAINS {
-        if let Ok(config) = serde_json::from_slice::<v1::TierConfig>(value) {
-            view.set_domains(&config.domains, change.revision);
-        }
-    } else if change.key.starts_with(SERVICES)
-        && let Ok(service) = serde_json::from_slice::<v1::Service>(value)
-    {
-        view.add_service(&service, change.revision);
+    /// Starts the planned stop: the node is not offered any more and hands
+    /// its units over, but goes on serving. See [`Self::stopped`].
+    pub fn begin_stop(&self) {
+        self.control.begin_stop();
     }
-}
 
-fn set_members(view: &mut View, vms: &[Vm]) {
-    view.nodes.clear();
-    for vm in vms {
-        let info = NodeInfo {
-            id: NodeId::of(&vm.name),
-            name: vm.name.clone(),
-            domain: DomainId::of(&vm.domain),
-            peers: vm.peers,
-            callers: vm.callers,
-            started: 0,
-        };
-        let standing = match vm.state {
-            VmState::Live => Standing::Live,
-            VmState::Leaving => Standing::Leaving,
-        };
-        let member = Member {
-            info,
-            standing,
-            load: 0,
-        };
-        view.nodes.insert(member.info.id, member);
+    /// Whether the planned stop has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.control.is_leaving()
     }
-}
 
-/// Gives each target to a node of its own failure domain, or to any node
-/// when the domain has none.
-fn set_owners(view: &mut View) {
-    view.owners.clear();
-    for target in view.targets.values() {
-        let live = |m: &&Member| m.standing == Standing::Live;
-        let near = |m: &&Member| m.info.domain == target.domain;
-        let nodes = || view.nodes.values().filter(live);
-        let chosen = rendezvous::choose(target.id, nodes().filter(near).map(|m| m.info.id))
-            .or_else(|| rendezvous::choose(target.id, nodes().map(|m| m.info.id)));
-        if let Some(node) = chosen {
-            let owner = OwnerOf {
-                node,
-                epoch: Epoch(1),
-            };
-            view.owners.insert(target.id, owner);
+    /// Waits until a planned stop that has begun can end without cutting a
+    /// request, or until `limit` has passed; returns false in that case. Until
+    /// then the node must be served all its messages. Callers may come for as
+    /// long as they keep an address.
+    pub async fn stopped(&self, limit: Duration) -> bool {
+        tokio::time::timeout(limit, self.finish()).await.is_ok()
+    }
+
+    async fn finish(&self) {
+        while !self.is_stopping() {
+            tokio::time::sleep(LOOK).await;
+        }
+        let keep = Duration::from_secs(u64::from(self.keep_secs));
+        let until = self.clock.now() + keep + GRACE;
+        self.control.hand_over().await;
+        self.clock.sleep_until(until).await;
+        while self.entry.load().0 > 0 || self.owner.busy() > 0 {
+            tokio::time::sleep(LOOK).await;
         }
     }
 }
+
+/// Looks rights up without a lock.
+fn right_fn(rights: Arc<ArcSwap<Rights>>) -> RightFn {
+    Arc::new(move |unit: TargetId, now: Time| {
+        let held = rights.load().at(unit, now)?;
+        Some(Right {
+            epoch: held.epoch,
+            share: held.share,
+            since: held.since,
+        })
+    })
+}
--- /dev/null
+++ b/crates/tier/src/operate/status.rs
@@ -0,0 +1,119 @@
+//! The state of the tier as one node sees it.
+
+use std::collections::BTreeSet;
+
+use heatherrun_kernel::message::OwnerReport;
+use heatherrun_kernel::view::{Member, Target};
+use heatherrun_kernel::{DomainId, Revision, View};
+use heatherrun_schema::v1;
+
+use crate::node::Node;
+
+/// The state as `node` sees it.
+pub(super) fn status(node: &Node) -> v1::StatusAnswer {
+    let view = node.view.load_full();
+    let force = force(node, view.revision);
+    let behind: BTreeSet<&str> = force.behind.iter().map(String::as_str).collect();
+    let mut nodes = Vec::with_capacity(view.nodes.len());
+    for member in view.nodes.values() {
+        let mut made = node_status(&view, member);
+        if !behind.contains(made.name.as_str()) {
+            made.revision = view.revision.0;
+        }
+        if member.info.id == node.info.id && node.control.doubted() {
+            "doubted".clone_into(&mut made.state);
+        }
+        nodes.push(made);
+    }
+    let reports = node.owner.reports();
+    let mut targets = Vec::with_capacity(view.targets.len());
+    for target in view.targets.values() {
+        let report = reports.iter().find(|(id, _)| *id == target.id);
+        targets.push(target_status(&view, target, report.map(|(_, r)| *r)));
+    }
+    targets.sort_by(|a, b| (&a.service, &a.name).cmp(&(&b.service, &b.name)));
+    v1::StatusAnswer {
+        node: node.info.name.clone(),
+        revision: view.revision.0,
+        domains: view.domains.clone(),
+        services: node.control.services(),
+        nodes,
+        targets,
+        view_age_ms: u64::try_from(node.control.age().as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+fn domain_name(view: &View, id: DomainId) -> String {
+    let found = view.domains.iter().find(|d| DomainId::of(&d.name) == id);
+    found.map(|d| d.name.clone()).unwrap_or_default()
+}
+
+fn node_status(view: &View, member: &Member) -> v1::NodeStatus {
+    v1::NodeStatus {
+        name: member.info.name.clone(),
+        domain: domain_name(view, member.info.domain),
+        callers: member.info.callers.to_string(),
+        state: format!("{:?}", member.standing).to_ascii_lowercase(),
+        revision: 0,
+        load: u32::from(member.load),
+    }
+}
+
+fn target_status(view: &View, target: &Target, report: Option<OwnerReport>) -> v1::TargetStatus {
+    let owner = view.owners.get(&target.id);
+    let node = owner.and_then(|o| view.nodes.get(&o.node));
+    let service = view.services.get(&target.service);
+    let report = report.unwrap_or_default();
+    let mut state = format!("{:?}", report.target.warmth).to_ascii_lowercase();
+    if !view.admits(target) {
+        "out".clone_into(&mut state);
+    }
+    v1::TargetStatus {
+        service: service.map(|s| s.name.clone()).unwrap_or_default(),
+        name: target.name.clone(),
+        domain: domain_name(view, target.domain),
+        owner: node.map(|m| m.info.name.clone()).unwrap_or_default(),
+        epoch: owner.map(|o| o.epoch.0).unwrap_or_default(),
+        state,
+        in_flight: u32::from(report.in_flight),
+        limit: u32::from(report.limit),
+        slots: u32::from(target.slots),
+    }
+}
+
+/// On how many nodes `revision` is in force, as far as this node was told.
+/// Nodes of a failure domain that tells nothing count as behind.
+pub(super) fn force(node: &Node, revision: Revision) -> v1::Force {
+    let notes = node.control.force();
+    let mut force = v1::Force {
+        revision: revision.0,
+        ..v1::Force::default()
+    };
+    for note in &notes {
+        force.total += note.total;
+        if note.revision >= revision {
+            force.nodes += note.nodes;
+            force.behind.extend(note.behind.iter().cloned());
+        }
+    }
+    let view = node.view.load();
+    for member in view.nodes.values() {
+        let told = notes.iter().find(|n| n.domain == member.info.domain);
+        if told.is_none() {
+            force.total += 1;
+        }
+        if told.is_none_or(|n| n.revision < revision) {
+            force.behind.push(member.info.name.clone());
+        }
+    }
+    force
+}
+
+/// Where a change is in force, in words.
+pub(super) fn in_force(force: &v1::Force) -> String {
+    let place = format!("in force on {} of {} nodes", force.nodes, force.total);
+    if force.behind.is_empty() {
+        return place;
+    }
+    format!("{place}, behind: {}", force.behind.join(", "))
+}
