--- a/crates/control/src/desk.rs
+++ b/crates/control/src/desk.rs
@@ -7,13 +7,15 @@
 use heatherrun_kernel::message::NodeInfo;
 use heatherrun_kernel::port::{Vm, VmState};
 use heatherrun_kernel::view::Standing;
-use heatherrun_kernel::{DomainId, Epoch, NodeId, Revision, ServiceId, TargetId, Time};
+use heatherrun_kernel::{DomainId, Epoch, NodeId, ONCE_PARTITIONS, Revision};
+use heatherrun_kernel::{ServiceId, TargetId, Time};
 
 use crate::cell::{self, Nodes};
 use crate::changelog::Log;
-use crate::grants::{self, Grants, Start, Unit, VALID};
+use crate::grants::{self, Grants, Stance, Start, Unit, VALID};
 use crate::lead::Tenure;
 use crate::manifest::SERVICE;
+use crate::rendezvous;
 use crate::replica::Replica;
 
 /// Shortest time between two beats of a node.
@@ -25,6 +27,10 @@
 /// Bytes of news in one answer, unless a single item is larger.
 const NEWS_BYTES: usize = 16 << 10;
 
+/// Time after which another leader's grants of a unit that moved between
+/// failure domains have surely run out: its lease and its last grants.
+const MOVE: Duration = Duration::from_secs(12);
+
 /// Names of nodes that are behind which are told.
 const BEHIND: usize = 5;
 
@@ -52,9 +58,15 @@
     /// What the leader knows, in the order of change.
     pub log: Log,
     members: BTreeMap<NodeId, Seen>,
+    /// Services that each node serves, in a tier that is not whole.
     cells: BTreeMap<NodeId, HashSet<ServiceId>>,
-    /// Services that each member needs; empty sets are not kept.
     whole: bool,
+    /// Failure domains without nodes that are led from here, each with
+    /// whether nobody led it before.
+    guests: BTreeMap<DomainId, bool>,
+    /// Failure domain of each unit at the last look, and whether it was led
+    /// from here.
+    homes: BTreeMap<TargetId, (DomainId, bool)>,
 }
 
 /// Time between two beats in a failure domain of `members` nodes.
@@ -95,6 +107,8 @@
             members: BTreeMap::new(),
             cells: BTreeMap::new(),
             whole: true,
+            guests: BTreeMap::new(),
+            homes: BTreeMap::new(),
         };
         desk.publish(items);
         desk
@@ -122,7 +136,8 @@
     /// Takes the configuration's units and cells after a change of the
     /// configuration or of the nodes.
     pub fn plan(&mut self, now: Time, replica: &Replica) {
-        self.grants.set_units(units(replica, self.domain), now);
+        let units = self.units(now, replica);
+        self.grants.set_units(units, now);
         let mut nodes = Nodes::new();
         for (id, member) in &replica.view.nodes {
             if member.standing != Standing::Silent {
@@ -142,6 +157,45 @@
         }
     }
 
+    /// Units that are granted here. One that comes from another leader is not
+    /// granted before that one's grants have surely run out.
+    fn units(&mut self, now: Time, replica: &Replica) -> Vec<Unit> {
+        let mut units = Vec::new();
+        let mut next = BTreeMap::new();
+        for (mut unit, home) in homes(replica) {
+            let own = home == self.domain;
+            let here = own || self.guests.contains_key(&home);
+            let before = self.homes.get(&unit.id);
+            let came = before.is_some_and(|(old, led)| *old != home && !led);
+            let first = self.guests.get(&home).copied().unwrap_or(false);
+            let taken = !own && !first && before.is_none_or(|(_, led)| !led);
+            if here && (came || taken) {
+                unit.free = now + MOVE;
+            }
+            next.insert(unit.id, (home, here));
+            unit.exclusive |= !own;
+            if here {
+                units.push(unit);
+            }
+        }
+        self.homes = next;
+        units
+    }
+
+    /// Sets which failure domains without nodes are led from here, each with
+    /// whether nobody led it before; returns whether that changed.
+    pub fn set_guests(&mut self, guests: BTreeMap<DomainId, bool>) -> bool {
+        let changed = self.guests != guests;
+        self.guests = guests;
+        changed
+    }
+
+    /// Whether every node of the failure domain was heard lately.
+    #[must_use]
+    pub fn is_sure(&self, tenure: &Tenure, now: Time) -> bool {
+        self.grants.stance(tenure, now) != Stance::Unsure
+    }
+
     /// Takes the platform's list of VMs, of which those of this domain count.
     pub fn set_listed(&mut self, now: Time, vms: &[Vm]) {
         for seen in self.members.values_mut() {
@@ -348,18 +402,28 @@
     }
 }
 
-/// Units that the leader of `domain` grants: its targets, and its part of the
-/// once-only partitions of each pooled service.
+/// All units with their failure domains: targets stand in their own, and the
+/// once-only partitions of pooled services are spread over those declared.
 #[must_use]
-pub fn units(replica: &Replica, domain: DomainId) -> Vec<Unit> {
-    let mut units = Vec::new();
+pub fn homes(replica: &Replica) -> Vec<(Unit, DomainId)> {
+    let mut units = Vec::with_capacity(replica.view.targets.len());
+    let unit = |id, service, exclusive| Unit {
+        id,
+        service,
+        exclusive,
+        free: Time(0),
+    };
     for target in replica.view.targets.values() {
-        if target.domain == domain {
-            units.push(Unit {
-                id: target.id,
-                service: target.service,
-                once: false,
-            });
+        units.push((unit(target.id, target.service, false), target.domain));
+    }
+    let domains = replica.view.domains.iter().map(|d| DomainId::of(&d.name));
+    let domains: Vec<_> = domains.map(|d| NodeId(d.0)).collect();
+    for service in replica.view.services.values().filter(|s| !s.sharded) {
+        for partition in 0..ONCE_PARTITIONS {
+            let id = TargetId::of_partition(&service.name, partition);
+            if let Some(home) = rendezvous::choose(id, domains.iter().copied()) {
+                units.push((unit(id, service.id, true), DomainId(home.0)));
+            }
         }
     }
     units
@@ -388,9 +452,3 @@
         Item::Force(note) => note.domain == domain,
     }
 }
-
-/// The unit that a service's target or partition stands for, if known.
-#[must_use]
-pub fn is_partition(replica: &Replica, unit: TargetId) -> bool {
-    !replica.view.targets.contains_key(&unit)
-}
--- a/crates/control/src/grants.rs
+++ b/crates/control/src/grants.rs
@@ -10,7 +10,7 @@
 //! - *alone*: the lease ended, but every node that was heard still is, so no
 //!   node stands for election. Grants go on as they are.
 //! - *unsure*: the lease ended and some node is silent. Targets are used at
-//!   the share of doubt; once-only partitions are not granted at all.
+//!   the share of doubt; exclusive units are not granted at all.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -30,6 +30,10 @@
 /// out, and the calls that were sent under it have ended.
 pub const LAPSE: Duration = Duration::from_secs(7);
 
+/// A new leader grants what nobody claims this long after its election: a
+/// leader before may have granted until its lease ended.
+pub const OPEN: Duration = Duration::from_secs(8);
+
 /// A node that was not heard for this long gets no units.
 pub const SILENT: Duration = Duration::from_secs(5);
 
@@ -43,8 +47,11 @@
     pub id: TargetId,
     /// Its service.
     pub service: ServiceId,
-    /// True for a partition of once-only records.
-    pub once: bool,
+    /// True when it is never used in doubt: a partition of once-only records,
+    /// or a unit of a failure domain that is led from another one.
+    pub exclusive: bool,
+    /// It is not granted before this time.
+    pub free: Time,
 }
 
 /// What a leader may grant.
@@ -125,6 +132,8 @@
     held: BTreeMap<NodeId, BTreeSet<TargetId>>,
     changed: BTreeSet<TargetId>,
     doubted: BTreeSet<NodeId>,
+    /// When units that were taken away while held are surely unused.
+    ending: BTreeMap<TargetId, Time>,
     /// True until the VM list was read after a lapse.
     unlisted: bool,
 }
@@ -135,7 +144,7 @@
     pub fn new(term: Epoch, start: Start, now: Time) -> Self {
         let wait = match start {
             Start::First => Duration::ZERO,
-            Start::Clean | Start::Lapse => LAPSE,
+            Start::Clean | Start::Lapse => OPEN,
         };
         Self {
             term,
@@ -147,40 +156,59 @@
             held: BTreeMap::new(),
             changed: BTreeSet::new(),
             doubted: BTreeSet::new(),
+            ending: BTreeMap::new(),
             unlisted: start == Start::Lapse,
         }
     }
 
     /// Goes on under a new term after the same leader was elected again.
     pub fn renew(&mut self, term: Epoch) {
-        self.term = term;
-        self.count = 0;
+        self.raise(term);
         self.unlisted = true;
     }
 
     /// Sets the units of the failure domain.
     pub fn set_units(&mut self, units: impl IntoIterator<Item = Unit>, now: Time) {
         let units: BTreeMap<_, _> = units.into_iter().map(|u| (u.id, u)).collect();
-        let gone: Vec<_> = self.slots.keys().copied().collect();
-        for id in gone {
+        self.ending.retain(|_, until| *until > now);
+        let known: Vec<_> = self.slots.keys().copied().collect();
+        for id in known {
             if !units.contains_key(&id) {
-                self.free(id);
-                self.slots.remove(&id);
+                self.remove(id);
             }
         }
         for (id, unit) in units {
+            let ending = self.ending.get(&id).copied().unwrap_or_default();
             let made = Slot {
                 unit,
                 holder: None,
                 epoch: Epoch(0),
                 share: 0,
-                until: self.opened,
+                until: self.opened.max(ending).max(unit.free),
             };
             self.slots.entry(id).or_insert(made).unit = unit;
         }
         self.plan(now);
     }
 
+    fn remove(&mut self, id: TargetId) {
+        let Some(slot) = self.slots.remove(&id) else {
+            return;
+        };
+        if let Some(node) = slot.holder {
+            self.held.entry(node).or_default().remove(&id);
+            self.ending.insert(id, slot.until);
+        }
+    }
+
+    /// Raises the epochs of grants from now on above those of another term.
+    pub fn raise(&mut self, term: Epoch) {
+        if term > self.term {
+            self.term = term;
+            self.count = 0;
+        }
+    }
+
     /// Sets which nodes the platform lists in the failure domain. A node that
     /// it lists no more is gone for good.
     pub fn set_listed(&mut self, listed: &BTreeSet<NodeId>, now: Time) {
@@ -456,7 +484,7 @@
 
 /// Share that a slot may be used with.
 fn share(slot: &Slot, stance: Stance, doubt: bool, taken: bool) -> u8 {
-    match (stance, slot.unit.once) {
+    match (stance, slot.unit.exclusive) {
         (Stance::Unsure, true) => 0,
         (Stance::Unsure, false) if taken || slot.share == SHARE_REST => 0,
         (Stance::Unsure, false) => SHARE_DOUBT,
--- a/crates/control/src/rights.rs
+++ b/crates/control/src/rights.rs
@@ -20,8 +20,8 @@
     pub share: u8,
     /// Since when it was held without a gap, in Unix milliseconds.
     pub since: u64,
-    /// True for a partition of once-only records, which is not held in doubt.
-    pub once: bool,
+    /// True when it is not held in doubt; see [`grants::Unit`].
+    pub exclusive: bool,
 }
 
 /// What this node holds. It is replaced whole and read on each send.
@@ -48,7 +48,7 @@
         if now < self.until {
             return Some(held);
         }
-        if !self.hold || now >= self.proof || held.once {
+        if !self.hold || now >= self.proof || held.exclusive {
             return None;
         }
         held.share = match held.share {
@@ -71,7 +71,7 @@
         now: Time,
         grants: &[Grant],
         unix: u64,
-        once: impl Fn(TargetId) -> bool,
+        exclusive: impl Fn(TargetId) -> bool,
     ) {
         let lapsed = now >= self.until;
         let mut units = HashMap::with_capacity(grants.len());
@@ -82,7 +82,7 @@
                 epoch: grant.epoch,
                 share: grant.share,
                 since: kept.map_or(unix, |h| h.since),
-                once: once(grant.unit),
+                exclusive: exclusive(grant.unit),
             };
             units.insert(grant.unit, held);
         }
--- a/crates/kernel/src/control.rs
+++ b/crates/kernel/src/control.rs
@@ -8,7 +8,8 @@
 use crate::message::NodeInfo;
 use crate::port::KeyValue;
 use crate::view::{Owner, Standing};
-use crate::{DomainId, Epoch, NodeId, Revision, ServiceId, TargetId, Time};
+use crate::{CallId, DomainId, Epoch, NodeId, QueryId, Revision};
+use crate::{ServiceId, ShardIx, TargetId, Time};
 
 /// Share of a holder that is sure to be the only one, in per cent.
 pub const SHARE_FULL: u8 = 100;
@@ -219,6 +220,8 @@
     pub issued: u64,
     /// Fingerprint of service and body.
     pub print: u64,
+    /// The claimer's query; a claim repeated under it is answered alike.
+    pub by: QueryId,
 }
 
 /// Answer to a [`Claim`].
@@ -245,6 +248,8 @@
     pub unit: TargetId,
     /// Id that the caller chose.
     pub id: String,
+    /// The claimer's query, so that a late message ends no other grant.
+    pub by: QueryId,
     /// How it ended.
     pub end: Ending,
 }
@@ -267,6 +272,12 @@
     pub print: u64,
     /// Target whose connection was lost while it ran.
     pub target: TargetId,
+    /// Shard that the target held.
+    pub shard: ShardIx,
+    /// Call that was lost.
+    pub call: CallId,
+    /// True when the same request had succeeded on another shard before.
+    pub proven: bool,
     /// True when an operator cleared the fingerprint.
     pub cleared: bool,
 }
--- a/crates/tier/src/control/beats.rs
+++ b/crates/tier/src/control/beats.rs
@@ -148,7 +148,9 @@
         rights.hold = answer.hold;
         if let Some(grants) = &answer.grants {
             let view = self.view.load();
-            rights.take(now, grants, unix, |unit| !view.targets.contains_key(&unit));
+            let own = self.info.domain;
+            let near = |unit| view.targets.get(&unit).is_some_and(|t| t.domain == own);
+            rights.take(now, grants, unix, |unit| !near(unit));
             rights.until = until;
             self.beat.notify_one();
         } else if !answer.tell {
--- a/crates/tier/src/control/election.rs
+++ b/crates/tier/src/control/election.rs
@@ -8,7 +8,7 @@
 use heatherrun_control::lead::{LastTerm, Record, Step, TTL};
 use heatherrun_control::replica;
 use heatherrun_kernel::port::{StoreCall, StoreError, StoreReply};
-use heatherrun_kernel::{Epoch, Revision, Time};
+use heatherrun_kernel::{DomainId, Epoch, Revision, Time};
 
 use super::{Control, candidates, lead_key, term_key};
 
@@ -145,14 +145,18 @@
         let Some(tenure) = elected else {
             return;
         };
-        let Ok(before) = self.read_term().await else {
+        let Ok(before) = self.read_term(self.info.domain).await else {
             return;
         };
         let mine = LastTerm {
             term: tenure.term,
             clean: false,
         };
-        if self.write_term(before.map(|b| b.0), mine).await.is_err() {
+        if self
+            .write_term(self.info.domain, before.map(|b| b.0), mine)
+            .await
+            .is_err()
+        {
             return;
         }
         let now = self.clock.now();
@@ -183,8 +187,11 @@
         self.work.notify_one();
     }
 
-    async fn read_term(&self) -> Result<Option<(Revision, LastTerm)>, StoreError> {
-        let key = term_key(self.info.domain);
+    pub(super) async fn read_term(
+        &self,
+        domain: DomainId,
+    ) -> Result<Option<(Revision, LastTerm)>, StoreError> {
+        let key = term_key(domain);
         let StoreReply::Value(Some(found)) = self.store(StoreCall::Get { key }).await? else {
             return Ok(None);
         };
@@ -196,9 +203,14 @@
         Ok(Some((found.revision, term)))
     }
 
-    async fn write_term(&self, expect: Option<Revision>, term: LastTerm) -> Result<(), StoreError> {
+    pub(super) async fn write_term(
+        &self,
+        domain: DomainId,
+        expect: Option<Revision>,
+        term: LastTerm,
+    ) -> Result<(), StoreError> {
         let call = StoreCall::Swap {
-            key: term_key(self.info.domain),
+            key: term_key(domain),
             expect: expect.unwrap_or_default(),
             value: serde_json::to_vec(&term).ok(),
             lease: 0,
@@ -224,11 +236,13 @@
         let (Some(lease), Some(term)) = (lease, term) else {
             return;
         };
-        if let Ok(Some((revision, last))) = self.read_term().await
+        if let Ok(Some((revision, last))) = self.read_term(self.info.domain).await
             && last.term == term
         {
             let clean = LastTerm { term, clean: true };
-            let _ = self.write_term(Some(revision), clean).await;
+            let _ = self
+                .write_term(self.info.domain, Some(revision), clean)
+                .await;
         }
         let _ = self.store(StoreCall::Revoke { lease }).await;
         log::info!(node = self.info.name.as_str(), term = term.0; "lead.resigned");
--- a/crates/tier/src/control/mod.rs
+++ b/crates/tier/src/control/mod.rs
@@ -3,11 +3,13 @@
 //!
 //! Every node beats to the leader of its failure domain ([`beats`]). A node
 //! that hears none takes part in an election ([`election`]). The leader alone
-//! reads the store ([`watch`]) and asks the other leaders ([`pulls`]).
+//! reads the store ([`watch`]), asks the other leaders ([`pulls`]) and leads
+//! failure domains without nodes ([`guests`]).
 //! [`stop`] is the planned stop.
 
 pub mod beats;
 pub mod election;
+pub mod guests;
 pub mod pulls;
 pub mod stop;
 pub mod watch;
@@ -170,6 +172,7 @@
             self.run_watch(),
             self.run_list(),
             self.run_pulls(),
+            self.run_guests(),
         );
     }
 
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -91,7 +91,18 @@
     /// Answers a control message of a peer.
     #[must_use]
     pub fn answer(&self, message: &Ask) -> Answer {
-        self.control.answer(message)
+        match message {
+            Ask::Claim(claim) => Answer::Claim(self.entry.once().claim(claim)),
+            Ask::Settle(settle) => {
+                self.entry.once().settle(settle);
+                Answer::Taken
+            }
+            Ask::Suspect(told) => {
+                self.owner.suspects().note(told);
+                Answer::Taken
+            }
+            _ => self.control.answer(message),
+        }
     }
 
     /// Runs the node's control side, for ever.
--- a/crates/tier/src/operate/config.rs
+++ b/crates/tier/src/operate/config.rs
@@ -166,13 +166,13 @@
         match node.control.store(call).await {
             Ok(StoreReply::Changes(found, _)) => {
                 let is_head = |kv: &KeyValue| kv.key == HEAD && kv.value.is_some();
-                let none = !found.iter().any(is_head);
+                let absent = !found.iter().any(is_head);
                 let mut pool = Pool::default();
                 pool.take(found);
                 if let Some(whole) = pool.whole() {
                     return Ok(whole);
                 }
-                if none {
+                if absent {
                     return Ok(empty());
                 }
             }
--- a/crates/tier/src/operate/status.rs
+++ b/crates/tier/src/operate/status.rs
@@ -13,11 +13,11 @@
 pub(super) fn status(node: &Node) -> v1::StatusAnswer {
     let view = node.view.load_full();
     let force = force(node, view.revision);
-    let behind: BTreeSet<&str> = force.behind.iter().map(String::as_str).collect();
+    let behind: BTreeSet<String> = force.behind.iter().cloned().collect();
     let mut nodes = Vec::with_capacity(view.nodes.len());
     for member in view.nodes.values() {
         let mut made = node_status(&view, member);
-        if !behind.contains(made.name.as_str()) {
+        if !behind.contains(&made.name) {
             made.revision = view.revision.0;
         }
         if member.info.id == node.info.id && node.control.doubted() {
@@ -40,6 +40,7 @@
         nodes,
         targets,
         view_age_ms: u64::try_from(node.control.age().as_millis()).unwrap_or(u64::MAX),
+        force: Some(force),
     }
 }
 
@@ -78,6 +79,8 @@
         in_flight: u32::from(report.in_flight),
         limit: u32::from(report.limit),
         slots: u32::from(target.slots),
+        shard: u32::from(target.shard.0),
+        queued: u32::from(report.queued),
     }
 }
 
