--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -12,6 +12,7 @@
 mod batches;
 mod claim;
 mod drive;
+pub mod control;
 pub mod entry;
 mod lane;
 pub mod node;
