Experiments tail and cold on the paused clock, with baselines

Cause: nothing measured the decisions under load. Change: the searcher stand-in draws lognormal service times, turns cold with and without a restart, falls over past what it bears, and records what it ran; a cell joins seven real entries and owners over it; clients check each answer against the searchers' records. Three simple entries stand beside.

--- /dev/null
+++ b/crates/bench/src/cell.rs
@@ -0,0 +1,230 @@
+//! A cell: a handful of nodes with the daemon's entries and owners, over
+//! in-memory searchers.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+};
+
+use heatherrun_control::rendezvous;
+use heatherrun_fakes::searcher::{Searcher, Settings};
+use heatherrun_kernel::control::Answer;
+use heatherrun_kernel::message::NodeInfo;
+use heatherrun_kernel::port::async_fn;
+use heatherrun_kernel::view::{Member, Owner as OwnerOf, Standing};
+use heatherrun_kernel::{Clock, DomainId, Epoch, NodeId, Revision, ShardIx, TargetId, View};
+use heatherrun_kernel::{ViewCell, port::Targets};
+use heatherrun_schema::v1;
+use heatherrun_tier::entry::Entry;
+use heatherrun_tier::owner::{Owner, Right};
+
+use crate::links::{Links, Place, Reach};
+use crate::plan::{Plan, ServicePlan};
+
+/// Revision of the configuration at the start.
+const START: Revision = Revision(1);
+
+/// One node.
+pub struct CellNode {
+    /// Names and addresses.
+    pub info: NodeInfo,
+    /// Entry.
+    pub entry: Arc<Entry>,
+    /// View that the node acts on.
+    pub view: Arc<ViewCell>,
+    /// Ports to targets, for baselines.
+    pub targets: Targets,
+}
+
+/// Nodes and searchers.
+pub struct Cell {
+    /// Plan that it was built by.
+    pub plan: Plan,
+    /// Clock.
+    pub clock: Clock,
+    /// Nodes.
+    pub nodes: Vec<CellNode>,
+    /// Searchers.
+    pub searchers: BTreeMap<TargetId, Searcher>,
+    /// Links.
+    pub links: Arc<Links>,
+}
+
+impl Cell {
+    /// Builds the cell of `plan`; needs a runtime.
+    #[must_use]
+    pub fn new(plan: Plan) -> Arc<Self> {
+        let view = first_view(&plan);
+        let mut searchers = BTreeMap::new();
+        let mut places = HashMap::new();
+        for target in view.targets.values() {
+            let settings = Settings {
+                shard: target.shard,
+                slots: target.slots,
+                bears: target.slots * 2,
+                seed: plan.seed ^ target.id.0,
+                ..plan.searcher.clone()
+            };
+            let searcher = Searcher::new(settings);
+            let place = Place {
+                searcher: searcher.clone(),
+                domain: target.domain,
+            };
+            searchers.insert(target.id, searcher);
+            places.insert(target.id, place);
+        }
+        let links = Links::new(plan.delays, places, plan.seed);
+        let clock = Clock::start();
+        let mut nodes = Vec::new();
+        let mut reaches = HashMap::new();
+        for member in view.nodes.values() {
+            let (node, reach) = make_node(member.info.clone(), &view, &links, clock);
+            reaches.insert(node.info.peers, reach);
+            nodes.push(node);
+        }
+        links.join(reaches);
+        Arc::new(Self {
+            plan,
+            clock,
+            nodes,
+            searchers,
+            links,
+        })
+    }
+
+    /// Replicas by shard of a service.
+    #[must_use]
+    pub fn shards(&self, service: &str) -> Vec<Vec<TargetId>> {
+        let view = self.nodes[0].view.load();
+        view.service(service)
+            .map(|s| s.shards.clone())
+            .unwrap_or_default()
+    }
+
+    /// Changes the view of every node.
+    pub fn change_views(&self, change: impl Fn(&mut View)) {
+        for node in &self.nodes {
+            node.view.update(&change);
+        }
+    }
+}
+
+fn make_node(info: NodeInfo, view: &View, links: &Arc<Links>, clock: Clock) -> (CellNode, Reach) {
+    let me = info.id;
+    let view = Arc::new(ViewCell::new(view.clone()));
+    let rights = Arc::clone(&view);
+    let right = move |target: TargetId, _now| {
+        let view = rights.load();
+        let owner = view.owners.get(&target)?;
+        let right = Right {
+            epoch: owner.epoch,
+            share: 100,
+            since: 0,
+        };
+        (owner.node == me).then_some(right)
+    };
+    let targets = links.targets(info.domain);
+    let owner = Owner::new(clock, Arc::clone(&view), targets.clone(), Arc::new(right));
+    let peers = links.peers(info.domain);
+    let entry = Entry::new(
+        clock,
+        me,
+        Arc::clone(&view),
+        peers,
+        Arc::clone(&owner),
+        info.started,
+    );
+    let reach = Reach {
+        domain: info.domain,
+        owner,
+        control: async_fn(|_| async { Answer::Refused(None) }),
+    };
+    let node = CellNode {
+        info,
+        entry,
+        view,
+        targets,
+    };
+    (node, reach)
+}
+
+fn first_view(plan: &Plan) -> View {
+    let mut view = View::default();
+    let domain = |name: &&str| v1::FailureDomain {
+        name: (*name).to_owned(),
+        ..v1::FailureDomain::default()
+    };
+    let domains: Vec<_> = plan.domains.iter().map(domain).collect();
+    view.set_domains(&domains, START);
+    for service in &plan.services {
+        view.add_service(&declare(service, &plan.domains), START);
+    }
+    for ix in 0..plan.nodes {
+        let member = member(ix, plan);
+        view.nodes.insert(member.info.id, member);
+    }
+    let targets: Vec<_> = view.targets.values().cloned().collect();
+    for target in targets {
+        let near = view
+            .nodes
+            .values()
+            .filter(|m| m.info.domain == target.domain);
+        if let Some(node) = rendezvous::choose(target.id, near.map(|m| m.info.id)) {
+            let owner = OwnerOf {
+                node,
+                epoch: Epoch(1),
+            };
+            view.owners.insert(target.id, owner);
+        }
+    }
+    view
+}
+
+fn member(ix: usize, plan: &Plan) -> Member {
+    let name = format!("entry-{ix}");
+    let port = u16::try_from(ix).unwrap_or(0) + 1;
+    let info = NodeInfo {
+        id: NodeId::of(&name),
+        name,
+        domain: DomainId::of(plan.domains[ix % plan.domains.len()]),
+        peers: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        callers: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        started: plan.seed + u64::from(port),
+    };
+    Member {
+        info,
+        standing: Standing::Live,
+        load: 0,
+    }
+}
+
+fn declare(service: &ServicePlan, domains: &[&str; 3]) -> v1::Service {
+    let searcher = |shard: u16, replica: u16| v1::Searcher {
+        name: format!("{}-{shard}-{replica}", service.name),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)).to_string(),
+        domain: domains[usize::from(replica) % domains.len()].to_owned(),
+        slots: u32::from(service.slots),
+        connections: u32::from(service.connections),
+    };
+    let replicas = |shard: u16| (0..service.replicas).map(|r| searcher(shard, r)).collect();
+    let kind = if service.shards == 0 {
+        v1::service::Kind::Pooled(v1::Pooled {
+            searchers: replicas(0),
+        })
+    } else {
+        let shard = |ix: u16| v1::Shard {
+            index: u32::from(ShardIx(ix).0),
+            replicas: replicas(ix),
+        };
+        v1::service::Kind::Sharded(v1::Sharded {
+            shards: (0..service.shards).map(shard).collect(),
+        })
+    };
+    v1::Service {
+        name: service.name.to_owned(),
+        kind: Some(kind),
+        limits: Some(v1::Limits::default()),
+        objectives: Some(v1::Objectives::default()),
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,19 @@
-//! Harness shared by the experiments under `benches/`.
+//! Experiments on the paused clock and over loopback sockets.
+//!
+//! A policy experiment runs the daemon's own entries and owners, joined by
+//! [`links`] and facing in-memory searchers ([`cell`]). [`load`] offers
+//! requests to them or to a [`baseline`], [`tally`] checks each answer
+//! against what the searchers recorded, and [`table`] prints the figures.
+
+pub mod args;
+pub mod baseline;
+pub mod cell;
+pub mod cold;
+pub mod links;
+pub mod load;
+pub mod plan;
+pub mod run;
+pub mod table;
+pub mod tail;
+pub mod tally;
+pub mod trial;
--- a/crates/fakes/src/searcher.rs
+++ b/crates/fakes/src/searcher.rs
@@ -1,85 +1,31 @@
 //! A searcher: slots, a queue, warmth, snapshots, and faults on demand. It
 //! counts each time it was given more than it bears.
 
-use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
-
-use heatherrun_kernel::message::{
-    CallError, CallResult, Failure, Lot, TargetCall, TargetReply, TargetReport, Warmth,
-};
-use heatherrun_kernel::{MapRev, ShardIx, Snapshot};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use heatherrun_kernel::Snapshot;
+use heatherrun_kernel::message::{CallError, CallResult, Failure, Lot, TargetCall};
+use heatherrun_kernel::message::{TargetReply, TargetReport, Warmth};
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
-use tokio::sync::Semaphore;
-
-/// How a searcher behaves.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// Shard it holds.
-    pub shard: ShardIx,
-    /// Calls it runs at the same time when warm.
-    pub slots: u16,
-    /// Calls that may be there at once, in slots and waiting, when warm.
-    pub bears: u16,
-    /// Mean service time of a call.
-    pub service: Duration,
-    /// Factor on the service time; tests change it to make the searcher slow.
-    pub slowness: f64,
-    /// Warmth.
-    pub warmth: Warmth,
-    /// Snapshots held, oldest and newest.
-    pub snapshots: (Snapshot, Snapshot),
-    /// Shard map; zero accepts any.
-    pub map: MapRev,
-    /// Seed of the service times.
-    pub seed: u64,
-}
+use tokio::sync::{Semaphore, watch};
+use tokio::time::Instant;
 
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            shard: ShardIx(0),
-            slots: 3,
-            bears: 6,
-            service: Duration::from_millis(5),
-            slowness: 1.0,
-            warmth: Warmth::Warm,
-            snapshots: (Snapshot(1), Snapshot(1)),
-            map: MapRev(0),
-            seed: 1,
-        }
-    }
-}
+mod settings;
+mod state;
 
-/// What a searcher counted.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Calls that arrived.
-    pub arrived: u64,
-    /// Calls that ran to their end.
-    pub ran: u64,
-    /// Calls refused.
-    pub refused: u64,
-    /// Arrivals past what the searcher bears.
-    pub breaches: u64,
-    /// Most calls that were there at once.
-    pub peak: u16,
-}
+pub use settings::{Cold, Counts, Settings, Spread, Stragglers};
+pub use state::{Runs, whole};
 
-struct State {
-    settings: Settings,
-    counts: Counts,
-    here: u16,
-    rng: SmallRng,
-}
+use state::State;
 
 /// One searcher.
 #[derive(Clone)]
 pub struct Searcher {
     state: Arc<Mutex<State>>,
     slots: Arc<Semaphore>,
+    /// Count of restarts; calls of an earlier one are lost.
+    starts: Arc<watch::Sender<u64>>,
 }
 
 impl Searcher {
@@ -87,15 +33,11 @@
     #[must_use]
     pub fn new(settings: Settings) -> Self {
         let slots = Arc::new(Semaphore::new(usize::from(settings.slots)));
-        let state = State {
-            rng: SmallRng::seed_from_u64(settings.seed),
-            settings,
-            counts: Counts::default(),
-            here: 0,
-        };
+        let rng = SmallRng::seed_from_u64(settings.seed);
         Self {
-            state: Arc::new(Mutex::new(state)),
+            state: Arc::new(Mutex::new(State::new(settings, rng))),
             slots,
+            starts: Arc::new(watch::Sender::new(0)),
         }
     }
 
@@ -109,103 +51,144 @@
         self.lock().counts
     }
 
+    /// Settings as they stand.
+    #[must_use]
+    pub fn settings(&self) -> Settings {
+        self.lock().settings.clone()
+    }
+
+    /// What was run for `body`; needs [`Settings::record`].
+    #[must_use]
+    pub fn runs(&self, body: &[u8]) -> Runs {
+        self.lock().runs.get(body).cloned().unwrap_or_default()
+    }
+
     /// Changes how the searcher behaves from now on.
     pub fn change(&self, change: impl FnOnce(&mut Settings)) {
         change(&mut self.lock().settings);
     }
 
+    /// Turns cold without notice and without losing a call.
+    pub fn chill(&self) {
+        self.lock().chill();
+    }
+
+    /// Loses all calls, is down for a while, and comes back cold.
+    pub fn restart(&self) {
+        self.lock().fall(Instant::now());
+        self.starts.send_modify(|starts| *starts += 1);
+    }
+
     /// Load and state as the searcher reports them.
     #[must_use]
     pub fn report(&self) -> TargetReport {
         let state = self.lock();
         TargetReport {
             warmth: state.settings.warmth,
-            busy: state.here,
+            busy: state.here(),
             oldest: state.settings.snapshots.0,
             newest: state.settings.snapshots.1,
             map: state.settings.map,
         }
     }
 
-    /// Runs one call.
+    /// Runs one call. Dropping the future cancels it.
     ///
     /// # Errors
-    /// Refusals that did not run; see [`Failure`].
+    /// Refusals that did not run, lost connections and deadlines that pass;
+    /// see [`Failure`].
     pub async fn call(&self, call: TargetCall) -> CallResult {
-        let service = self.arrive(&call).map_err(CallError::not_run)?;
-        let here = Here { searcher: self };
-        let slot = self.slots.acquire().await;
-        tokio::time::sleep(service).await;
-        drop(slot);
+        let mut starts = self.starts.subscribe();
+        let now = Instant::now();
+        let arrived = self.lock().arrive(now, &call);
+        let (number, service, falls) = arrived.map_err(|failure| self.refuse(failure))?;
+        let here = Here {
+            searcher: self,
+            number,
+        };
+        if falls {
+            self.restart();
+        }
+        let end = now + call.left;
+        let result = tokio::select! {
+            biased;
+            _ = starts.changed() => Err(CallError::unknown(Failure::ConnectionLost)),
+            result = self.work(&call, service, end) => result,
+        };
         drop(here);
-        Ok(self.reply(&call))
+        result
     }
 
-    fn arrive(&self, call: &TargetCall) -> Result<Duration, Failure> {
-        let mut state = self.lock();
-        state.counts.arrived += 1;
-        let refusal = refusal(&state.settings, call);
-        if let Some(failure) = refusal {
-            state.counts.refused += 1;
-            return Err(failure);
-        }
-        state.here += 1;
-        state.counts.peak = state.counts.peak.max(state.here);
-        let bears = match state.settings.warmth {
-            Warmth::Cold => (state.settings.bears / 10).max(1),
-            _ => state.settings.bears,
+    fn refuse(&self, failure: Failure) -> CallError {
+        self.lock().tell(Instant::now());
+        CallError::not_run(failure)
+    }
+
+    async fn work(
+        &self,
+        call: &TargetCall,
+        service: std::time::Duration,
+        end: Instant,
+    ) -> CallResult {
+        let Ok(slot) = tokio::time::timeout_at(end, self.slots.acquire()).await else {
+            return Err(self.refuse(Failure::Expired));
         };
-        if state.here > bears {
-            state.counts.breaches += 1;
+        self.lock().begin(&call.body);
+        if self.lock().settings.crash.as_deref() == Some(&*call.body) {
+            self.lock().counts.crashes += 1;
+            self.restart();
+            return Err(CallError::unknown(Failure::ConnectionLost));
+        }
+        let ran = tokio::time::timeout_at(end, tokio::time::sleep(service)).await;
+        drop(slot);
+        if ran.is_err() {
+            self.lock().tell(Instant::now());
+            return Err(CallError::unknown(Failure::TimedOut));
         }
-        let factor = state.rng.random_range(0.5..1.5) * state.settings.slowness;
-        Ok(state.settings.service.mul_f64(factor))
+        Ok(self.reply(call))
     }
 
     fn reply(&self, call: &TargetCall) -> TargetReply {
-        let report = self.report();
         let snapshot = match call.snapshot {
-            Snapshot(0) => report.newest,
+            Snapshot(0) => self.report().newest,
             pinned => pinned,
         };
+        let lots = {
+            let mut state = self.lock();
+            state.end(call, snapshot);
+            state.tell(Instant::now());
+            state.settings.lots
+        };
         let text = String::from_utf8_lossy(&call.body).into_owned();
         let lot = |rank: u32| Lot {
             id: format!("s{}-{rank}", call.shard),
             score: f64::from(100 - rank) - f64::from(call.shard.0) / 1_000.0,
             text: text.clone(),
         };
-        self.lock().counts.ran += 1;
         TargetReply {
             snapshot,
             map: call.map,
-            lots: (0..3).map(lot).collect(),
+            lots: (0..lots).map(lot).collect(),
             body: call.body.to_vec(),
-            report,
+            report: self.report(),
         }
     }
-}
 
-fn refusal(settings: &Settings, call: &TargetCall) -> Option<Failure> {
-    let (oldest, newest) = settings.snapshots;
-    if settings.warmth == Warmth::Draining {
-        return Some(Failure::Draining);
-    }
-    if settings.map != MapRev(0) && settings.map != call.map {
-        return Some(Failure::MapChanged);
-    }
-    if call.snapshot != Snapshot(0) && !(oldest..=newest).contains(&call.snapshot) {
-        return Some(Failure::SnapshotGone);
+    /// Whether the searcher reports that it is cold.
+    #[must_use]
+    pub fn is_cold(&self) -> bool {
+        self.lock().settings.warmth == Warmth::Cold
     }
-    None
 }
 
 /// Counts a call as there until it is dropped, also when it is cancelled.
 struct Here<'a> {
     searcher: &'a Searcher,
+    number: u64,
 }
 
 impl Drop for Here<'_> {
     fn drop(&mut self) {
-        self.searcher.lock().here -= 1;
+        self.searcher.lock().leave(self.number);
     }
 }
