--- a/crates/fakes/src/searcher.rs
+++ b/crates/fakes/src/searcher.rs
@@ -8,7 +8,7 @@
 use heatherrun_kernel::message::{TargetReply, TargetReport, Warmth};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 
 mod settings;
@@ -24,8 +24,8 @@
 pub struct Searcher {
     state: Arc<Mutex<State>>,
     slots: Arc<Semaphore>,
-    /// Count of restarts; calls of an earlier one are lost.
-    starts: Arc<watch::Sender<u64>>,
+    /// Tells all calls there that they are lost, in the order of arrival.
+    lost: Arc<Notify>,
 }
 
 impl Searcher {
@@ -37,7 +37,7 @@
         Self {
             state: Arc::new(Mutex::new(State::new(settings, rng))),
             slots,
-            starts: Arc::new(watch::Sender::new(0)),
+            lost: Arc::default(),
         }
     }
 
@@ -76,7 +76,7 @@
     /// Loses all calls, is down for a while, and comes back cold.
     pub fn restart(&self) {
         self.lock().fall(Instant::now());
-        self.starts.send_modify(|starts| *starts += 1);
+        self.lost.notify_waiters();
     }
 
     /// Load and state as the searcher reports them.
@@ -98,7 +98,9 @@
     /// Refusals that did not run, lost connections and deadlines that pass;
     /// see [`Failure`].
     pub async fn call(&self, call: TargetCall) -> CallResult {
-        let mut starts = self.starts.subscribe();
+        let lost = self.lost.notified();
+        tokio::pin!(lost);
+        lost.as_mut().enable();
         let now = Instant::now();
         let arrived = self.lock().arrive(now, &call);
         let (number, service, falls) = arrived.map_err(|failure| self.refuse(failure))?;
@@ -112,7 +114,7 @@
         let end = now + call.left;
         let result = tokio::select! {
             biased;
-            _ = starts.changed() => Err(CallError::unknown(Failure::ConnectionLost)),
+            () = lost => Err(CallError::unknown(Failure::ConnectionLost)),
             result = self.work(&call, service, end) => result,
         };
         drop(here);
--- a/crates/tier/src/owner.rs
+++ b/crates/tier/src/owner.rs
@@ -58,7 +58,7 @@
 struct Open {
     done: SegQueue<Done>,
     changed: Notify,
-    calls: Mutex<HashMap<u16, TargetId>>,
+    calls: Mutex<BTreeMap<u16, TargetId>>,
 }
 
 /// Sends calls to the targets this node owns.
