--- a/crates/bench/benches/cold.rs
+++ b/crates/bench/benches/cold.rs
@@ -13,5 +13,5 @@
 fn main() {
     let args = Args::read(SECS);
     let span = Duration::from_secs(args.secs);
-    run::experiment("cold", &args, &cold::trials(args.seed, span));
+    let _ = run::experiment("cold", &args, &cold::trials(args.seed, span));
 }
--- a/crates/bench/benches/tail.rs
+++ b/crates/bench/benches/tail.rs
@@ -13,5 +13,5 @@
 fn main() {
     let args = Args::read(SECS);
     let span = Duration::from_secs(args.secs);
-    run::experiment("tail", &args, &tail::trials(args.seed, span));
+    let _ = run::experiment("tail", &args, &tail::trials(args.seed, span));
 }
--- a/crates/bench/src/cell.rs
+++ b/crates/bench/src/cell.rs
@@ -4,7 +4,10 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::{Ipv4Addr, SocketAddr},
-    sync::Arc,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use heatherrun_control::rendezvous;
@@ -12,9 +15,9 @@
 use heatherrun_kernel::control::Answer;
 use heatherrun_kernel::message::NodeInfo;
 use heatherrun_kernel::port::async_fn;
-use heatherrun_kernel::view::{Member, Owner as OwnerOf, Standing};
-use heatherrun_kernel::{Clock, DomainId, Epoch, NodeId, Revision, ShardIx, TargetId, View};
-use heatherrun_kernel::{ViewCell, port::Targets};
+use heatherrun_kernel::view::{Member, Owner as OwnerOf, Service, Standing};
+use heatherrun_kernel::{Clock, DomainId, Epoch, MapRev, NodeId, Revision, ServiceId, ShardIx};
+use heatherrun_kernel::{TargetId, View, ViewCell, port::Targets};
 use heatherrun_schema::v1;
 use heatherrun_tier::entry::Entry;
 use heatherrun_tier::owner::{Owner, Right};
@@ -49,6 +52,19 @@
     pub searchers: BTreeMap<TargetId, Searcher>,
     /// Links.
     pub links: Arc<Links>,
+    /// Remarks that a script leaves for the table.
+    pub notes: Mutex<Vec<String>>,
+    /// Targets that one request crashed, at the most.
+    pub worst: AtomicU64,
+    maps: Mutex<Vec<Map>>,
+}
+
+/// One version of the shard map of one service.
+#[derive(Clone)]
+struct Map {
+    service: ServiceId,
+    rev: MapRev,
+    shards: Vec<Vec<TargetId>>,
 }
 
 impl Cell {
@@ -56,6 +72,7 @@
     #[must_use]
     pub fn new(plan: Plan) -> Arc<Self> {
         let view = first_view(&plan);
+        let maps = view.services.values().map(|s| map_of(s)).collect();
         let mut searchers = BTreeMap::new();
         let mut places = HashMap::new();
         for target in view.targets.values() {
@@ -63,6 +80,7 @@
                 shard: target.shard,
                 slots: target.slots,
                 bears: target.slots * 2,
+                map: MapRev(START.0),
                 seed: plan.seed ^ target.id.0,
                 ..plan.searcher.clone()
             };
@@ -90,6 +108,9 @@
             nodes,
             searchers,
             links,
+            notes: Mutex::default(),
+            worst: AtomicU64::new(0),
+            maps: Mutex::new(maps),
         })
     }
 
@@ -102,11 +123,39 @@
             .unwrap_or_default()
     }
 
-    /// Changes the view of every node.
-    pub fn change_views(&self, change: impl Fn(&mut View)) {
-        for node in &self.nodes {
-            node.view.update(&change);
-        }
+    /// Every shard map that the service had, newest first.
+    pub fn maps(&self, service: &str) -> impl Iterator<Item = (MapRev, Vec<Vec<TargetId>>)> {
+        let id = ServiceId::of(service);
+        let maps = lock(&self.maps).clone();
+        let own = maps.into_iter().rev().filter(move |m| m.service == id);
+        own.map(|m| (m.rev, m.shards))
+    }
+
+    /// Notes a new shard map before any node takes it.
+    pub fn add_map(&self, service: &Service) {
+        lock(&self.maps).push(map_of(service));
+    }
+
+    /// Notes how many targets one request crashed.
+    pub fn note_worst(&self, crashed: u64) {
+        self.worst.fetch_max(crashed, Ordering::Relaxed);
+    }
+
+    /// Leaves a remark for the table.
+    pub fn remark(&self, text: String) {
+        lock(&self.notes).push(text);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn map_of(service: &Service) -> Map {
+    Map {
+        service: service.id,
+        rev: service.map,
+        shards: service.shards.clone(),
     }
 }
 
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -5,7 +5,8 @@
     time::Duration,
 };
 
-use heatherrun_kernel::{Snapshot, TargetId};
+use heatherrun_kernel::Snapshot;
+use heatherrun_kernel::message::Class;
 use heatherrun_schema::v1;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -54,7 +55,6 @@
 
 /// Offers `load` and returns the tally once all requests have ended.
 pub async fn offer(cell: Arc<Cell>, server: Server, load: Load, tally: Tally) -> Tally {
-    let shards: Arc<[Vec<TargetId>]> = cell.shards(load.service).into();
     let tally = Arc::new(Mutex::new(tally));
     let mut rng = SmallRng::seed_from_u64(cell.plan.seed ^ hash(load.service));
     let mut clients = JoinSet::new();
@@ -77,15 +77,16 @@
                 node: rng.random_range(0..cell.nodes.len()),
                 service: load.service,
                 kind: load.kind,
+                class: class(&mut rng),
                 deadline: load.deadline,
                 body: format!("{}-{seq}", load.service),
             };
-            let (shards, tally) = (Arc::clone(&shards), Arc::clone(&tally));
+            let tally = Arc::clone(&tally);
             clients.spawn(async move {
                 let cell = Arc::clone(&client.cell);
                 let outcome = client.ask().await;
                 let mut tally = tally.lock().unwrap_or_else(PoisonError::into_inner);
-                tally.take(&cell, &shards, outcome);
+                tally.take(&cell, outcome);
             });
         }
     }
@@ -113,6 +114,8 @@
     pub service: &'static str,
     /// How it is sent.
     pub kind: Kind,
+    /// Class.
+    pub class: Class,
     /// Deadline.
     pub deadline: Duration,
     /// Body.
@@ -128,7 +131,9 @@
         Outcome {
             start,
             end: self.cell.clock.now(),
+            service: self.service,
             kind: self.kind,
+            class: self.class,
             told: told.unwrap_or(Told::Nothing),
             body: self.body,
         }
@@ -155,6 +160,7 @@
             query: self.body.clone(),
             limit: LOTS,
             deadline_ms: millis(self.deadline),
+            class: name_class(self.class) as i32,
             ..v1::SearchRequest::default()
         };
         match node.entry.search(ask).await {
@@ -168,9 +174,9 @@
             service: self.service.to_owned(),
             body: self.body.clone(),
             deadline_ms: millis(self.deadline),
+            class: name_class(self.class) as i32,
             once: self.kind == Kind::Once,
             id: self.body.clone(),
-            ..v1::PoolRequest::default()
         };
         match node.entry.request(ask).await {
             Ok(answer) => Told::Answer(Answer {
@@ -186,6 +192,23 @@
     }
 }
 
+/// Draws a class: one request in five is urgent, three in ten can wait.
+fn class(rng: &mut SmallRng) -> Class {
+    match rng.random_range(0..10) {
+        0..2 => Class::Urgent,
+        2..5 => Class::Batch,
+        _ => Class::Normal,
+    }
+}
+
+const fn name_class(class: Class) -> v1::Class {
+    match class {
+        Class::Batch => v1::Class::Batch,
+        Class::Normal => v1::Class::Normal,
+        Class::Urgent => v1::Class::Urgent,
+    }
+}
+
 fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -46,7 +46,6 @@
 ///
 /// # Panics
 /// When a trial panics.
-#[must_use]
 pub fn rows(args: &Args, trials: &[Trial]) -> Vec<Row> {
     let mut cases = Vec::new();
     for trial in trials.iter().filter(|t| args.wants(&t.name)) {
@@ -75,10 +74,13 @@
     cases.get(ix).map(|case| (ix, case))
 }
 
-/// Runs an experiment and prints its table.
-pub fn experiment(title: &str, args: &Args, trials: &[Trial]) {
+/// Runs an experiment and prints its table; returns the rows.
+#[must_use]
+pub fn experiment(title: &str, args: &Args, trials: &[Trial]) -> Vec<Row> {
+    let rows = rows(args, trials);
     table::heading(title, args.seed);
-    for row in rows(args, trials) {
-        table::print(&row);
+    for row in &rows {
+        table::print(row);
     }
+    rows
 }
--- a/crates/bench/src/table.rs
+++ b/crates/bench/src/table.rs
@@ -53,6 +53,10 @@
     pub tally: Tally,
     /// Targets.
     pub strain: Strain,
+    /// Remarks.
+    pub notes: Vec<String>,
+    /// Targets that one request crashed, at the most.
+    pub worst: u64,
 }
 
 /// Prints the heading of a table.
@@ -61,9 +65,9 @@
     println!(
         "| case | server | asked | p50 ms | p99 ms | p99.9 ms | coverage % | extra % | refused \
          | unknown | lost | doubled | false cover | false not run | warm peak/bears \
-         | cold peak/bears | breaches | unknowable | falls |"
+         | cold peak/bears | breaches | unknowable | falls | notes |"
     );
-    println!("|{}", " --- |".repeat(19));
+    println!("|{}", " --- |".repeat(20));
 }
 
 /// Prints one row.
@@ -71,7 +75,7 @@
     let (t, s) = (&row.tally, &row.strain);
     println!(
         "| {} | {} | {} | {:.0} | {:.0} | {:.0} | {:.3} | {:.2} | {} | {} | {} | {} | {} | {} \
-         | {}/{} | {}/{} | {} | {} | {} |",
+         | {}/{} | {}/{} | {} | {} | {} | {} |",
         row.case,
         row.server,
         t.asked,
@@ -93,5 +97,6 @@
         s.breaches,
         s.unknowable,
         s.falls,
+        row.notes.join("; "),
     );
 }
--- a/crates/bench/src/tally.rs
+++ b/crates/bench/src/tally.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
-use heatherrun_kernel::{Snapshot, TargetId, Time};
+use heatherrun_kernel::message::Class;
+use heatherrun_kernel::{MapRev, Snapshot, TargetId, Time};
 
 use crate::cell::Cell;
 
@@ -13,6 +14,9 @@
 /// Decimal digits to which latencies are kept.
 const DIGITS: u8 = 3;
 
+/// Time over which goodput is counted.
+pub const BIN: Duration = Duration::from_millis(500);
+
 /// How a request was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
@@ -63,8 +67,12 @@
     pub start: Time,
     /// When the client had the answer.
     pub end: Time,
+    /// Service.
+    pub service: &'static str,
     /// How it was sent.
     pub kind: Kind,
+    /// Class.
+    pub class: Class,
     /// What the client was told.
     pub told: Told,
 }
@@ -99,8 +107,10 @@
     pub false_cover: u64,
     /// Refusals that say "not run" of a request that ran.
     pub false_not_run: u64,
-    /// Answers by second of their end, for goodput.
+    /// Whole answers by [`BIN`] of their end.
     pub goodput: Vec<u64>,
+    /// Requests sent and whole answers by class.
+    pub classes: [(u64, u64); 3],
     denied: Vec<String>,
     once: Vec<String>,
 }
@@ -127,21 +137,23 @@
             false_cover: 0,
             false_not_run: 0,
             goodput: Vec::new(),
+            classes: [(0, 0); 3],
             denied: Vec::new(),
             once: Vec::new(),
         }
     }
 
     /// Takes one outcome and checks it.
-    pub fn take(&mut self, cell: &Cell, shards: &[Vec<TargetId>], outcome: Outcome) {
+    pub fn take(&mut self, cell: &Cell, outcome: Outcome) {
         let measured = (self.from..self.until).contains(&outcome.start);
         self.asked += u64::from(measured);
+        self.classes[outcome.class as usize].0 += u64::from(measured);
         if outcome.kind == Kind::Once {
             self.once.push(outcome.body.clone());
         }
         match &outcome.told {
             Told::Answer(answer) => {
-                self.check(cell, shards, &outcome, answer);
+                self.check(cell, &outcome, answer);
                 if measured {
                     self.measure(&outcome, answer);
                 }
@@ -164,30 +176,27 @@
         self.covered.1 += answer.total;
         self.calls.0 += answer.attempts;
         self.calls.1 += answer.total;
-        let second = usize::try_from(outcome.end.0 / 1_000_000).unwrap_or(usize::MAX);
-        if self.goodput.len() <= second {
-            self.goodput.resize(second + 1, 0);
+        if answer.reached < answer.total {
+            return;
+        }
+        self.classes[outcome.class as usize].1 += 1;
+        let bin = outcome.end.0 / heatherrun_kernel::time::micros(BIN);
+        let bin = usize::try_from(bin).unwrap_or(usize::MAX);
+        if self.goodput.len() <= bin {
+            self.goodput.resize(bin + 1, 0);
         }
-        self.goodput[second] += 1;
+        self.goodput[bin] += 1;
     }
 
-    fn check(&mut self, cell: &Cell, shards: &[Vec<TargetId>], outcome: &Outcome, answer: &Answer) {
+    fn check(&mut self, cell: &Cell, outcome: &Outcome, answer: &Answer) {
         let mut ids: Vec<_> = answer.lots.iter().map(|(id, _)| id).collect();
         ids.sort();
         self.doubled += u64::from(ids.windows(2).any(|pair| pair[0] == pair[1]));
         let own = answer.lots.iter().all(|(_, text)| *text == outcome.body);
         let counted = answer.reached + answer.missing.len() == answer.total
-            && answer.total == shards.len()
             && answer.lots.len() == answer.reached;
-        let searched = |shard: &usize| {
-            shards[*shard].iter().any(|id| {
-                let runs = cell.searchers[id].runs(outcome.body.as_bytes());
-                let at = |(snapshot, _): &(Snapshot, _)| *snapshot == answer.snapshot;
-                runs.ended.iter().any(at)
-            })
-        };
-        let claimed = (0..shards.len()).filter(|s| !answer.missing.contains(s));
-        let true_cover = claimed.clone().all(|s| searched(&s));
+        let mut maps = cell.maps(outcome.service);
+        let true_cover = maps.any(|(map, shards)| covered(cell, outcome, answer, map, &shards));
         self.false_cover += u64::from(!(own && counted && true_cover));
     }
 
@@ -225,6 +234,15 @@
         self.doubled += other.doubled;
         self.false_cover += other.false_cover;
         self.false_not_run += other.false_not_run;
+        for (mine, theirs) in self.classes.iter_mut().zip(other.classes) {
+            mine.0 += theirs.0;
+            mine.1 += theirs.1;
+        }
+        let bins = self.goodput.len().max(other.goodput.len());
+        self.goodput.resize(bins, 0);
+        for (mine, theirs) in self.goodput.iter_mut().zip(&other.goodput) {
+            *mine += theirs;
+        }
     }
 
     /// Latency at a percentile, in milliseconds.
@@ -247,6 +265,28 @@
     }
 }
 
+/// Whether each shard that the answer claims was searched under `map` at the
+/// answer's snapshot.
+fn covered(
+    cell: &Cell,
+    outcome: &Outcome,
+    answer: &Answer,
+    map: MapRev,
+    shards: &[Vec<TargetId>],
+) -> bool {
+    let searched = |shard: usize| {
+        shards[shard].iter().any(|id| {
+            let runs = cell.searchers[id].runs(outcome.body.as_bytes());
+            let at = |(snapshot, m): &(Snapshot, MapRev)| *snapshot == answer.snapshot && *m == map;
+            runs.ended.iter().any(at)
+        })
+    };
+    answer.total == shards.len()
+        && (0..shards.len())
+            .filter(|s| !answer.missing.contains(s))
+            .all(searched)
+}
+
 #[allow(clippy::cast_precision_loss)]
 fn percent(part: usize, whole: usize) -> f64 {
     100.0 * part as f64 / whole.max(1) as f64
--- a/crates/bench/src/trial.rs
+++ b/crates/bench/src/trial.rs
@@ -1,6 +1,10 @@
 //! One run: a cell, the load on it, and a script of what goes wrong.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, PoisonError, atomic::Ordering},
+    time::Duration,
+};
 
 use heatherrun_kernel::Time;
 use heatherrun_kernel::port::{AsyncFn, async_fn};
@@ -31,7 +35,7 @@
     /// Measured time, after [`WARM_UP`].
     pub span: Duration,
     /// What happens meanwhile; it starts after [`WARM_UP`].
-    pub script: AsyncFn<Arc<Cell>, ()>,
+    pub script: AsyncFn<(Arc<Cell>, Server), ()>,
 }
 
 impl Trial {
@@ -63,7 +67,20 @@
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        self.script = async_fn(script);
+        self.script = async_fn(move |(cell, _)| script(cell));
+        self
+    }
+
+    /// The same trial with this script, which asks the server too.
+    #[must_use]
+    pub fn hostile<F>(
+        mut self,
+        script: impl Fn(Arc<Cell>, Server) -> F + Send + Sync + 'static,
+    ) -> Self
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.script = async_fn(move |(cell, server)| script(cell, server));
         self
     }
 
@@ -83,7 +100,7 @@
             loads.spawn(async move { (kind, offered.await) });
         }
         cell.clock.sleep_until(Time::default() + WARM_UP).await;
-        (self.script)(Arc::clone(&cell)).await;
+        (self.script)((Arc::clone(&cell), server.clone())).await;
         let mut totals: BTreeMap<Kind, Tally> = BTreeMap::new();
         while let Some(Ok((kind, part))) = loads.join_next().await {
             totals
@@ -92,11 +109,14 @@
                 .add(&part);
         }
         let strain = Strain::of(&cell);
+        let notes = cell.notes.lock().unwrap_or_else(PoisonError::into_inner);
         let row = |(kind, tally)| Row {
             case: format!("{} {}", self.name, label(kind)),
             server: name.to_owned(),
             tally,
             strain,
+            notes: notes.clone(),
+            worst: cell.worst.load(Ordering::Relaxed),
         };
         totals.into_iter().map(row).collect()
     }
--- a/crates/fakes/src/searcher.rs
+++ b/crates/fakes/src/searcher.rs
@@ -3,9 +3,9 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use heatherrun_kernel::Snapshot;
 use heatherrun_kernel::message::{CallError, CallResult, Failure, Lot, TargetCall};
 use heatherrun_kernel::message::{TargetReply, TargetReport, Warmth};
+use heatherrun_kernel::{MapRev, Snapshot};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::{Notify, Semaphore};
@@ -136,8 +136,7 @@
             return Err(self.refuse(Failure::Expired));
         };
         self.lock().begin(&call.body);
-        if self.lock().settings.crash.as_deref() == Some(&*call.body) {
-            self.lock().counts.crashes += 1;
+        if self.lock().crashes(&call.body) {
             self.restart();
             return Err(CallError::unknown(Failure::ConnectionLost));
         }
@@ -151,13 +150,18 @@
     }
 
     fn reply(&self, call: &TargetCall) -> TargetReply {
+        let report = self.report();
         let snapshot = match call.snapshot {
-            Snapshot(0) => self.report().newest,
+            Snapshot(0) => report.newest,
             pinned => pinned,
         };
+        let map = match report.map {
+            MapRev(0) => call.map,
+            own => own,
+        };
         let lots = {
             let mut state = self.lock();
-            state.end(call, snapshot);
+            state.end(call, snapshot, map);
             state.tell(Instant::now());
             state.settings.lots
         };
@@ -169,7 +173,7 @@
         };
         TargetReply {
             snapshot,
-            map: call.map,
+            map,
             lots: (0..lots).map(lot).collect(),
             body: call.body.to_vec(),
             report: self.report(),
--- a/crates/fakes/src/searcher/settings.rs
+++ b/crates/fakes/src/searcher/settings.rs
@@ -80,7 +80,7 @@
     pub cold: Cold,
     /// Whether it refuses calls past what it bears.
     pub sheds: bool,
-    /// Body of a request that crashes it.
+    /// Beginning of the bodies that crash it.
     pub crash: Option<Vec<u8>>,
     /// Lots in each reply.
     pub lots: u32,
@@ -88,7 +88,7 @@
     pub record: bool,
     /// Snapshots held, oldest and newest.
     pub snapshots: (Snapshot, Snapshot),
-    /// Shard map; zero accepts any.
+    /// Shard map; zero accepts any, and a call of map zero is accepted by any.
     pub map: MapRev,
     /// Seed of the service times.
     pub seed: u64,
--- a/crates/fakes/src/searcher/state.rs
+++ b/crates/fakes/src/searcher/state.rs
@@ -120,7 +120,8 @@
         if call.epoch < self.epoch {
             return Some(Failure::StaleEpoch);
         }
-        if self.settings.map != MapRev(0) && self.settings.map != call.map {
+        let maps = (self.settings.map, call.map);
+        if maps.0 != MapRev(0) && maps.1 != MapRev(0) && maps.0 != maps.1 {
             return Some(Failure::MapChanged);
         }
         if call.snapshot != Snapshot(0) && !(oldest..=newest).contains(&call.snapshot) {
@@ -145,11 +146,19 @@
         }
     }
 
-    pub(super) fn end(&mut self, call: &TargetCall, snapshot: Snapshot) {
+    /// Whether `body` crashes the searcher, which counts it.
+    pub(super) fn crashes(&mut self, body: &[u8]) -> bool {
+        let crash = self.settings.crash.as_deref();
+        let crashes = crash.is_some_and(|prefix| body.starts_with(prefix));
+        self.counts.crashes += u64::from(crashes);
+        crashes
+    }
+
+    pub(super) fn end(&mut self, call: &TargetCall, snapshot: Snapshot, map: MapRev) {
         self.counts.ran += 1;
         if self.settings.record {
             let runs = self.runs.entry(Arc::clone(&call.body)).or_default();
-            runs.ended.push((snapshot, call.map));
+            runs.ended.push((snapshot, map));
         }
         self.warmed += 1;
         let after = self.settings.cold.warm_after;
