--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -11,8 +11,8 @@
 pub mod addresses;
 mod batches;
 mod claim;
-mod drive;
 pub mod control;
+mod drive;
 pub mod entry;
 mod lane;
 pub mod node;
