Contract of the interfaces to callers and targets as tables of fault cases

Change: cases as lines of text, each with its expected outcome, run on real sockets against the server for callers and against a scripted target; a reply whose declared length is too long is refused before it is read; the refusal of a connection past the limit says when to come again (found by its test).

--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -18,6 +18,7 @@
 use futures::FutureExt;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -198,6 +199,9 @@
         }
     };
     let (head, body) = response.into_parts();
+    if body.size_hint().lower() > most as u64 {
+        return Sent::Failed(ExchangeError::BadReply);
+    }
     match Limited::new(body, most).collect().await {
         Ok(body) => Sent::Replied(Response::from_parts(head, body.to_bytes())),
         Err(_) => Sent::Failed(ExchangeError::BadReply),
--- a/crates/ports/src/http_reply.rs
+++ b/crates/ports/src/http_reply.rs
@@ -133,13 +133,16 @@
 /// Bytes of a response that is written without the HTTP library.
 #[must_use]
 pub(crate) fn raw(fault: Fault) -> Bytes {
-    let status = fault.status();
-    let body = serde_json::to_string(&fault.refusal()).unwrap_or_default();
-    let reason = status.canonical_reason().unwrap_or_default();
-    let head = format!(
-        "HTTP/1.1 {} {reason}\r\ncontent-type: application/json\r\nconnection: close\r\n",
+    let (status, refused) = (fault.status(), fault.refusal());
+    let body = serde_json::to_string(&refused).unwrap_or_default();
+    let mut head = format!(
+        "HTTP/1.1 {} {}\r\ncontent-type: application/json\r\nconnection: close\r\n",
         status.as_u16(),
+        status.canonical_reason().unwrap_or_default(),
     );
+    if refused.retry_ms > 0 {
+        head += &format!("retry-after: {}\r\n", refused.retry_ms.div_ceil(1_000));
+    }
     Bytes::from(format!(
         "{head}content-length: {}\r\n\r\n{body}",
         body.len()
--- /dev/null
+++ b/crates/ports/tests/common/mod.rs
@@ -0,0 +1,131 @@
+//! What the contract tests share: case files, a raw HTTP exchange, a tier.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+
+use heatherrun_fakes::searcher::Settings;
+use heatherrun_schema::v1::{self, Operator};
+use heatherrun_standins::local::LocalTier;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const DOMAINS: [&str; 3] = ["wallis", "ticino", "zurich"];
+
+/// Fields of each case of a file, without comments and blank lines.
+pub fn cases(text: &str) -> Vec<Vec<String>> {
+    let mut found = Vec::new();
+    for line in text.lines() {
+        if line.trim().is_empty() || line.starts_with('#') {
+            continue;
+        }
+        found.push(line.split('|').map(|f| f.trim().to_owned()).collect());
+    }
+    found
+}
+
+/// Bytes of a field: `<N*text>` repeats text, `\xNN` is one byte.
+pub fn expand(field: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    let mut rest = field;
+    while let Some(c) = rest.chars().next() {
+        if let Some((count, text, after)) = repeated(rest) {
+            out.extend(expand(text).repeat(count));
+            rest = after;
+            continue;
+        }
+        if let Some(hex) = rest.strip_prefix("\\x") {
+            out.push(u8::from_str_radix(&hex[..2], 16).unwrap());
+            rest = &hex[2..];
+            continue;
+        }
+        if let Some(after) = rest.strip_prefix("\\r\\n") {
+            out.extend(b"\r\n");
+            rest = after;
+            continue;
+        }
+        out.extend(c.to_string().into_bytes());
+        rest = &rest[c.len_utf8()..];
+    }
+    out
+}
+
+fn repeated(text: &str) -> Option<(usize, &str, &str)> {
+    let (count, rest) = text.strip_prefix('<')?.split_once('*')?;
+    let (text, after) = rest.split_once('>')?;
+    Some((count.parse().ok()?, text, after))
+}
+
+/// A response as read from the socket.
+#[derive(Debug, Default)]
+pub struct Exchange {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+/// Sends raw bytes and reads until the server closes.
+pub async fn exchange(address: SocketAddr, request: &[u8]) -> Exchange {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut reader, mut writer) = stream.into_split();
+    let request = request.to_vec();
+    let writing = tokio::spawn(async move {
+        let _ = writer.write_all(&request).await;
+        writer
+    });
+    let mut input = Vec::new();
+    let _ = reader.read_to_end(&mut input).await;
+    writing.abort();
+    let Some(end) = input.windows(4).position(|w| w == b"\r\n\r\n") else {
+        return Exchange::default();
+    };
+    let head = String::from_utf8_lossy(&input[..end]).to_ascii_lowercase();
+    Exchange {
+        status: head
+            .get(9..12)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or_default(),
+        head,
+        body: input.split_off(end + 4),
+    }
+}
+
+/// Tier with the sharded service `lotes`, the pooled service `recibos` and
+/// `nodes` nodes.
+pub async fn tier(nodes: usize) -> LocalTier {
+    let mut tier = LocalTier::start().await.unwrap();
+    let settings = Settings::default();
+    let mut lotes = tier
+        .add_sharded("lotes", 4, &DOMAINS, &settings)
+        .await
+        .unwrap();
+    lotes.limits = Some(v1::Limits {
+        deadline_ms: 20_000,
+        deadline_max: 30_000,
+        ..v1::Limits::default()
+    });
+    let recibos = tier
+        .add_pooled("recibos", &DOMAINS, &settings)
+        .await
+        .unwrap();
+    for n in 0..nodes {
+        tier.add_node(&format!("entry-{n}"), DOMAINS[n % DOMAINS.len()])
+            .await
+            .unwrap();
+    }
+    let domain = |name: &&str| v1::FailureDomain {
+        name: (*name).to_owned(),
+        region: "alps".to_owned(),
+        out: false,
+    };
+    let config = v1::TierConfig {
+        domains: DOMAINS.iter().map(domain).collect(),
+        services: vec![lotes, recibos],
+    };
+    let request = v1::ApplyRequest {
+        config: Some(config),
+        ..v1::ApplyRequest::default()
+    };
+    tier.nodes[0].node.apply(request).await.unwrap();
+    tier.settle().await;
+    tier
+}
--- /dev/null
+++ b/crates/ports/tests/targets.rs
@@ -0,0 +1,214 @@
+//! Contract of the interface to targets, on real sockets.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{cases, expand};
+use heatherrun_fakes::searcher::Settings;
+use heatherrun_kernel::message::{
+    CallError, CallKind, CallResult, Failure, Lot, Ran, TargetCall, TargetReply, TargetReport,
+};
+use heatherrun_kernel::port::Endpoint;
+use heatherrun_kernel::{CallId, Epoch, MapRev, QueryId, ServiceId, ShardIx, Snapshot, TargetId};
+use heatherrun_ports::{target, wire};
+use heatherrun_standins::local::LocalSearcher;
+use heatherrun_standins::script::{Act, Script};
+
+/// Time left of a call that is to time out.
+const SHORT: Duration = Duration::from_millis(150);
+
+/// Time left of every other call.
+const LONG: Duration = Duration::from_secs(20);
+
+fn call(attempt: u16, left: Duration) -> TargetCall {
+    TargetCall {
+        id: CallId {
+            query: QueryId { entry: 7, seq: 1 },
+            attempt,
+        },
+        target: TargetId(1),
+        service: ServiceId(2),
+        shard: ShardIx(0),
+        kind: CallKind::Search,
+        snapshot: Snapshot(1),
+        map: MapRev(3),
+        epoch: Epoch(4),
+        left,
+        body: Arc::from(format!("query {attempt}").as_bytes()),
+    }
+}
+
+fn whole_reply() -> String {
+    let reply = TargetReply {
+        snapshot: Snapshot(1),
+        map: MapRev(3),
+        lots: vec![Lot {
+            id: "lot".to_owned(),
+            score: 1.0,
+            text: "kernels".to_owned(),
+        }],
+        body: b"ok".to_vec(),
+        report: TargetReport::default(),
+    };
+    let body = String::from_utf8(wire::encode_reply(reply).unwrap()).unwrap();
+    let head = "HTTP/1.1 200 OK\r\nheatherrun-call: {id}\r\n";
+    format!("{head}content-length: {}\r\n\r\n{body}", body.len())
+}
+
+fn act(name: &str, text: &str) -> Act {
+    let bytes = String::from_utf8(expand(text)).unwrap();
+    let bytes = bytes.replace("OKOK", &whole_reply().repeat(2));
+    let bytes = if bytes == "OK" { whole_reply() } else { bytes };
+    match name {
+        "write" => Act::Write(bytes),
+        "close" => Act::WriteClose(bytes),
+        "reset" => Act::Reset,
+        "reset-unread" => Act::ResetUnread,
+        "silent" => Act::Silent,
+        other => panic!("unknown act {other}"),
+    }
+}
+
+fn outcome(result: &CallResult) -> String {
+    match result {
+        Ok(_) => "ok".to_owned(),
+        Err(CallError { failure, ran }) => {
+            let ran = match ran {
+                Ran::NotRun => "not-run",
+                Ran::Unknown => "unknown",
+            };
+            format!("{failure:?} {ran}")
+        }
+    }
+}
+
+/// Endpoint of which this side may use `share` connections for calls.
+fn endpoint(address: std::net::SocketAddr, share: u16) -> Endpoint {
+    Endpoint {
+        address,
+        connections: (share + 1) * 2,
+    }
+}
+
+#[tokio::test]
+async fn call_fault_cases_come_to_their_outcome() {
+    let mut wrong = Vec::new();
+    for case in cases(include_str!("cases/targets.txt")) {
+        let [name, does, text, want, connection] = case.as_slice() else {
+            panic!("five fields wanted: {case:?}");
+        };
+        let acts = [act(does, text), Act::Write(whole_reply())];
+        let script = Script::start(acts).await.unwrap();
+        let targets = target::targets();
+        let at = endpoint(script.address, 4);
+        let left = if want.starts_with("TimedOut") {
+            SHORT
+        } else {
+            LONG
+        };
+        let got = outcome(&(targets.call)((at, call(0, left))).await);
+        let next = outcome(&(targets.call)((at, call(1, LONG))).await);
+        let reused = script.accepted() == 1;
+        if got != *want || next != "ok" || reused != (connection == "kept") {
+            wrong.push(format!(
+                "{name}: {got}, next {next}, connection kept {reused}"
+            ));
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+#[tokio::test]
+async fn call_no_listener_is_not_run() {
+    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = closed.local_addr().unwrap();
+    drop(closed);
+    let result = (target::targets().call)((endpoint(address, 4), call(0, LONG))).await;
+    assert_eq!(result, Err(CallError::not_run(Failure::NoConnection)));
+}
+
+#[tokio::test]
+async fn call_deadline_zero_sends_nothing() {
+    let script = Script::start([Act::Write(whole_reply())]).await.unwrap();
+    let at = endpoint(script.address, 4);
+    let result = (target::targets().call)((at, call(0, Duration::ZERO))).await;
+    assert_eq!(result, Err(CallError::not_run(Failure::Expired)));
+    assert_eq!((script.accepted(), script.requests()), (0, 0));
+}
+
+#[tokio::test]
+async fn call_idle_connection_closed_by_target_reconnects() {
+    let reply = || Act::WriteClose(whole_reply());
+    let script = Script::start([reply(), reply(), reply()]).await.unwrap();
+    let targets = target::targets();
+    for attempt in 0..3 {
+        let result = (targets.call)((endpoint(script.address, 4), call(attempt, LONG))).await;
+        assert_eq!(outcome(&result), "ok");
+    }
+    assert_eq!(script.requests(), 3);
+}
+
+#[tokio::test]
+async fn call_late_reply_is_never_read_by_the_next() {
+    let slow = Settings {
+        service: Duration::from_millis(300),
+        ..Settings::default()
+    };
+    let searcher = LocalSearcher::start("slow", "wallis", slow).await.unwrap();
+    let at = endpoint(searcher.config.address.parse().unwrap(), 3);
+    let targets = target::targets();
+    for attempt in 0..20 {
+        let left = if attempt % 2 == 0 {
+            Duration::from_millis(20)
+        } else {
+            LONG
+        };
+        let mut sent = call(attempt, left);
+        sent.map = MapRev(0);
+        let result = (targets.call)((at, sent)).await;
+        let Ok(reply) = result else {
+            assert_eq!(attempt % 2, 0, "{result:?}");
+            continue;
+        };
+        assert_eq!(reply.body, format!("query {attempt}").into_bytes());
+    }
+}
+
+#[tokio::test]
+async fn call_more_than_the_share_keeps_to_it() {
+    let script = Script::start([Act::Silent]).await.unwrap();
+    let targets = target::targets();
+    let at = endpoint(script.address, 5);
+    let mut calls = Vec::new();
+    for attempt in 0..40 {
+        calls.push(tokio::spawn((targets.call)((at, call(attempt, SHORT)))));
+    }
+    let mut refused = 0;
+    for call in calls {
+        let result = call.await.unwrap();
+        refused += usize::from(result == Err(CallError::not_run(Failure::NoConnection)));
+    }
+    assert_eq!((script.accepted(), script.requests(), refused), (5, 5, 35));
+}
+
+#[tokio::test]
+async fn cancel_busy_share_uses_the_spare_connection() {
+    let slow = Settings {
+        service: Duration::from_secs(15),
+        slots: 1,
+        ..Settings::default()
+    };
+    let searcher = LocalSearcher::start("slow", "wallis", slow).await.unwrap();
+    let at = endpoint(searcher.config.address.parse().unwrap(), 1);
+    let targets = target::targets();
+    let running = tokio::spawn((targets.call)((at, call(0, LONG))));
+    while searcher.searcher.counts().arrived == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    (targets.cancel)((at, TargetId(1), call(0, LONG).id)).await;
+    let result = running.await.unwrap();
+    assert_eq!(outcome(&result), "Cancelled unknown");
+    assert_eq!(searcher.searcher.counts().ran, 0);
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod local;
 pub mod platform;
+pub mod script;
 pub mod searcher;
--- a/crates/standins/src/local.rs
+++ b/crates/standins/src/local.rs
@@ -31,6 +31,8 @@
 pub struct LocalNode {
     /// Node.
     pub node: Arc<Node>,
+    /// Failure domain.
+    pub domain: String,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address for operators.
@@ -129,6 +131,7 @@
     tokio::spawn(async move { following.follow().await });
     Ok(LocalNode {
         node,
+        domain: domain.to_owned(),
         callers: caller_address,
         operators: operator_address,
         phase,
@@ -251,6 +254,34 @@
         })
     }
 
+    /// Starts the searchers of a pooled service, one in each of `domains`,
+    /// and returns the service's configuration.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub async fn add_pooled(
+        &mut self,
+        name: &str,
+        domains: &[&str],
+        settings: &Settings,
+    ) -> anyhow::Result<v1::Service> {
+        let mut searchers = Vec::new();
+        for domain in domains {
+            let mut own = settings.clone();
+            own.seed += self.searchers.len() as u64;
+            let label = format!("{name}-{domain}");
+            let searcher = LocalSearcher::start(&label, domain, own).await?;
+            searchers.push(searcher.config.clone());
+            self.searchers.push(searcher);
+        }
+        Ok(v1::Service {
+            name: name.to_owned(),
+            kind: Some(v1::service::Kind::Pooled(v1::Pooled { searchers })),
+            limits: Some(v1::Limits::default()),
+            objectives: Some(v1::Objectives::default()),
+        })
+    }
+
     /// Starts a node called `name` in `domain` and lists it as a live VM.
     ///
     /// # Errors
@@ -259,19 +290,21 @@
         let started = self.nodes.len() as u64 + 1;
         let made = LocalNode::start(name, domain, self.platform, started, self.threads).await?;
         self.nodes.push(made);
-        self.list_vms(domain);
+        self.list_vms();
         Ok(())
     }
 
-    fn list_vms(&self, domain: &str) {
+    /// Lists the nodes that run as live VMs.
+    pub fn list_vms(&self) {
         let mut vms = Vec::new();
         for local in &self.nodes {
+            if local.runtime.is_none() {
+                continue;
+            }
             let info = &local.node.info;
-            let names = ["wallis", "ticino", "zurich"];
-            let known = names.iter().find(|n| DomainId::of(n) == info.domain);
             vms.push(Vm {
                 name: info.name.clone(),
-                domain: known.map_or(domain, |n| *n).to_owned(),
+                domain: local.domain.clone(),
                 peers: info.peers,
                 callers: info.callers,
                 state: VmState::Live,
