--- a/crates/standins/src/local.rs
+++ b/crates/standins/src/local.rs
@@ -231,29 +231,71 @@
     ) -> anyhow::Result<v1::Service> {
         let mut made = Vec::new();
         for shard in 0..shards {
-            let mut replicas = Vec::new();
-            for domain in domains {
-                let mut own = settings.clone();
-                own.shard = ShardIx(shard);
-                own.seed += self.searchers.len() as u64;
-                let label = format!("{name}-{shard}-{domain}");
-                let searcher = LocalSearcher::start(&label, domain, own).await?;
-                replicas.push(searcher.config.clone());
-                self.searchers.push(searcher);
-            }
-            made.push(v1::Shard {
-                index: u32::from(shard),
-                replicas,
-            });
+            made.push(self.add_shard(name, shard, domains, settings).await?);
         }
-        Ok(v1::Service {
-            name: name.to_owned(),
-            kind: Some(v1::service::Kind::Sharded(v1::Sharded { shards: made })),
-            limits: Some(v1::Limits::default()),
-            objectives: Some(v1::Objectives::default()),
+        Ok(service(
+            name,
+            v1::service::Kind::Sharded(v1::Sharded { shards: made }),
+        ))
+    }
+
+    /// Starts the searchers of a sharded service without replicas, shard by
+    /// shard in the next one of `domains`.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub async fn add_spread(
+        &mut self,
+        name: &str,
+        shards: u16,
+        domains: &[&str],
+        settings: &Settings,
+    ) -> anyhow::Result<v1::Service> {
+        let mut made = Vec::new();
+        for shard in 0..shards {
+            let at = usize::from(shard) % domains.len();
+            let domains = &domains[at..=at];
+            made.push(self.add_shard(name, shard, domains, settings).await?);
+        }
+        Ok(service(
+            name,
+            v1::service::Kind::Sharded(v1::Sharded { shards: made }),
+        ))
+    }
+
+    async fn add_shard(
+        &mut self,
+        name: &str,
+        shard: u16,
+        domains: &[&str],
+        settings: &Settings,
+    ) -> anyhow::Result<v1::Shard> {
+        let mut replicas = Vec::new();
+        for domain in domains {
+            let mut own = settings.clone();
+            own.shard = ShardIx(shard);
+            let label = format!("{name}-{shard}-{domain}");
+            replicas.push(self.add_searcher(&label, domain, own).await?);
+        }
+        Ok(v1::Shard {
+            index: u32::from(shard),
+            replicas,
         })
     }
 
+    async fn add_searcher(
+        &mut self,
+        label: &str,
+        domain: &str,
+        mut settings: Settings,
+    ) -> anyhow::Result<v1::Searcher> {
+        settings.seed += self.searchers.len() as u64;
+        let searcher = LocalSearcher::start(label, domain, settings).await?;
+        let config = searcher.config.clone();
+        self.searchers.push(searcher);
+        Ok(config)
+    }
+
     /// Starts the searchers of a pooled service, one in each of `domains`,
     /// and returns the service's configuration.
     ///
@@ -267,19 +309,14 @@
     ) -> anyhow::Result<v1::Service> {
         let mut searchers = Vec::new();
         for domain in domains {
-            let mut own = settings.clone();
-            own.seed += self.searchers.len() as u64;
             let label = format!("{name}-{domain}");
-            let searcher = LocalSearcher::start(&label, domain, own).await?;
-            searchers.push(searcher.config.clone());
-            self.searchers.push(searcher);
+            let made = self.add_searcher(&label, domain, settings.clone());
+            searchers.push(made.await?);
         }
-        Ok(v1::Service {
-            name: name.to_owned(),
-            kind: Some(v1::service::Kind::Pooled(v1::Pooled { searchers })),
-            limits: Some(v1::Limits::default()),
-            objectives: Some(v1::Objectives::default()),
-        })
+        Ok(service(
+            name,
+            v1::service::Kind::Pooled(v1::Pooled { searchers }),
+        ))
     }
 
     /// Starts a node called `name` in `domain` and lists it as a live VM.
@@ -323,3 +360,12 @@
         }
     }
 }
+
+fn service(name: &str, kind: v1::service::Kind) -> v1::Service {
+    v1::Service {
+        name: name.to_owned(),
+        kind: Some(kind),
+        limits: Some(v1::Limits::default()),
+        objectives: Some(v1::Objectives::default()),
+    }
+}
