--- a/crates/tier/src/owner.rs
+++ b/crates/tier/src/owner.rs
@@ -59,7 +59,7 @@
     done: SegQueue<Done>,
     marks: SegQueue<Suspicion>,
     changed: Notify,
-    calls: Mutex<HashMap<u16, Pending>>,
+    calls: Mutex<BTreeMap<u16, Pending>>,
 }
 
 /// One call of a batch that is not done.
