Admission gives back only places it gave; hedges, jumps and caps by load

Cause: a request that was not admitted gave back a place it never had, so the count wrapped and the node refused all from then on. A slot whose hedge fell due while probing was never hedged. One refusal for load switched hedges of the service off for 100 ms. Three slow calls of six, against a latency without any queue, sent targets to cold under ordinary load. A limit above what the target bears was allowed by averages that were too rough. Change: the place is made after the count; admission adapts for each service; hedges stop above 5% refusals and are tried again; a jump is four slow calls of eight, against the latency expected for the calls beside it; more than the target bears is allowed only when its own reports show calls on the wire; two shards are asked first instead of one.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -69,10 +69,10 @@
     pub fn enter(&self, class: Class) -> Option<Place<'_>> {
         let open = (self.places() * share(class) / 100).max(1);
         let step = |taken: u32| (taken < open).then_some(taken + 1);
-        self.taken
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, step)
-            .is_ok()
-            .then_some(Place { admission: self })
+        let taken = self
+            .taken
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, step);
+        taken.ok().map(|_| Place { admission: self })
     }
 
     /// Notes how a request ended: refused for load, or not.
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -1,12 +1,7 @@
-//! One budget for hedges and retries: a share of first attempts. Refusals
-//! for load switch hedges off for a while.
+//! One budget for hedges and retries: a share of first attempts. Many
+//! refusals for load switch hedges off.
 
-use std::{
-    sync::atomic::{AtomicI64, AtomicU64, Ordering},
-    time::Duration,
-};
-
-use heatherrun_kernel::Time;
+use std::sync::atomic::{AtomicI64, Ordering};
 
 /// Cost of one extra call; a first attempt earns the budget's share of it.
 const CALL_COST: i64 = 100;
@@ -14,15 +9,22 @@
 /// Largest number of extra calls that may be saved up.
 const SAVED_CALLS: i64 = 50;
 
-/// Time without hedges after a refusal for load.
-const OVERLOAD_SPAN: Duration = Duration::from_millis(100);
+/// Unit of the share of calls refused for load; large enough that rounding
+/// does not matter.
+const WHOLE: i64 = 1_000_000;
+
+/// Share of calls refused for load above which no call is hedged.
+const OVERLOAD: i64 = WHOLE / 20;
+
+/// Weight of one call in that share, as a divisor.
+const REFUSED_SMOOTHING: i64 = 64;
 
 /// Budget of extra calls.
 #[derive(Debug)]
 pub struct Budget {
     percent: i64,
     saved: AtomicI64,
-    overload_until: AtomicU64,
+    refused: AtomicI64,
 }
 
 impl Budget {
@@ -32,7 +34,7 @@
         Self {
             percent: i64::from(percent),
             saved: AtomicI64::new(CALL_COST * SAVED_CALLS / 10),
-            overload_until: AtomicU64::new(0),
+            refused: AtomicI64::new(0),
         }
     }
 
@@ -58,15 +60,18 @@
         self.saved.fetch_add(CALL_COST, Ordering::Relaxed);
     }
 
-    /// Notes a refusal for load.
-    pub fn note_overload(&self, now: Time) {
-        let until = now + OVERLOAD_SPAN;
-        self.overload_until.fetch_max(until.0, Ordering::Relaxed);
+    /// Notes whether a call was refused for load.
+    pub fn note(&self, refused: bool) {
+        let goal = if refused { WHOLE } else { 0 };
+        let step = |old: i64| Some(old + (goal - old) / REFUSED_SMOOTHING);
+        let _ = self
+            .refused
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
     }
 
     /// Whether hedges are off for load.
     #[must_use]
-    pub fn is_overloaded(&self, now: Time) -> bool {
-        now.0 < self.overload_until.load(Ordering::Relaxed)
+    pub fn is_overloaded(&self) -> bool {
+        self.refused.load(Ordering::Relaxed) > OVERLOAD
     }
 }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -86,12 +86,12 @@
         now.0 < self.avoid_until.load(Ordering::Relaxed)
     }
 
-    /// Whether calls queue at the target's owner.
+    /// Whether more calls queue at the target's owner than are in flight.
     #[must_use]
     pub fn is_full(&self, now: Time) -> bool {
         let waiting = self.waiting.load(Ordering::Relaxed);
         let limit = self.limit.load(Ordering::Relaxed);
-        limit > 0 && waiting > limit && !self.is_stale(now)
+        limit > 0 && waiting > limit * 2 && !self.is_stale(now)
     }
 
     /// Counts a call sent.
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -10,7 +10,7 @@
 use heatherrun_kernel::time::micros;
 
 /// Calls, per thousand, that are answered within the delay.
-const QUANTILE: u64 = 970;
+const QUANTILE: u64 = 960;
 
 /// Bounds of the delay.
 const LEAST: Duration = Duration::from_millis(2);
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -24,18 +24,21 @@
 const SLOW_FACTOR: u32 = 3;
 
 /// Latest calls looked at for a jump of latency.
-const RECENT: usize = 6;
+const RECENT: usize = 8;
 
 /// Slow ones among the latest calls that make a jump. A lone straggler does
 /// not.
-const JUMP: usize = 3;
+const JUMP: usize = 4;
 
 /// Factor by which sends to a far target may come faster than its limit makes
 /// them on average.
 const PACE: f64 = 1.25;
 
 /// Weight of one call in the moving averages, as a divisor.
-const SMOOTHING: u32 = 8;
+const SMOOTHING: u32 = 32;
+
+/// Mean count of reported calls above which the reports are believed.
+const BELIEVED_BUSY: f64 = 0.25;
 
 /// Growth of the usual latency with each slow call, as a divisor. A target
 /// that stays slow is usual at last.
@@ -52,6 +55,8 @@
     pub flying: usize,
     /// What the target reports of itself.
     pub warmth: Warmth,
+    /// Calls that the target reports in its slots and its queue.
+    pub busy: u16,
 }
 
 /// Adaptive limit of one target.
@@ -67,6 +72,10 @@
     usual: Option<Duration>,
     /// Mean latency of all calls but slow ones.
     recent: Duration,
+    /// Mean count of calls in flight that are not at the target.
+    wire: f64,
+    /// Mean count of calls at the target as it reports them.
+    busy: f64,
     /// Whether each of the latest calls was slow.
     slow: VecDeque<bool>,
     tokens: f64,
@@ -86,6 +95,8 @@
             work: COLD_WORK,
             usual: None,
             recent: Duration::ZERO,
+            wire: 0.0,
+            busy: 0.0,
             slow: VecDeque::with_capacity(RECENT),
             tokens: f64::from(slots * BEARS_FACTOR),
             filled: Time::default(),
@@ -107,6 +118,17 @@
         f64::from(self.slots * BEARS_FACTOR)
     }
 
+    /// Calls in flight at the most: what the target bears at its place and,
+    /// when many calls are on the wire for certain, these as well. A target
+    /// that answers all the time and reports no calls is not believed.
+    fn cap(&self) -> f64 {
+        let mut cap = self.bears();
+        if self.wire >= f64::from(self.slots) && self.busy > BELIEVED_BUSY {
+            cap += self.wire;
+        }
+        cap.min(self.most)
+    }
+
     /// Sets the limit back to what a cold target bears.
     pub fn turn_cold(&mut self) {
         let bears = self.slots * BEARS_FACTOR;
@@ -138,9 +160,16 @@
         took / u32::from(self.now(share))
     }
 
-    /// Whether a call that took or waits this long is slow.
-    pub fn is_slow(&self, took: Duration) -> bool {
-        self.usual.is_some_and(|usual| took > usual * SLOW_FACTOR)
+    /// Whether a call that took or waits this long is slow, with `beside`
+    /// calls in flight when it was sent.
+    pub fn is_slow(&self, took: Duration, beside: usize) -> bool {
+        let Some(usual) = self.usual else {
+            return false;
+        };
+        let beside = u16::try_from(beside).unwrap_or(u16::MAX);
+        let queued = f64::from(beside) / f64::from(self.slots);
+        let expected = usual.mul_f64(queued.clamp(1.0, f64::from(BEARS_FACTOR)));
+        took > expected * SLOW_FACTOR
     }
 
     /// Takes one token for a send. More calls than the target bears at its
@@ -156,7 +185,7 @@
         }
         let rate = self.allowed / usual * PACE;
         let gain = now.since(self.filled).as_secs_f64() * rate;
-        self.tokens = (self.tokens + gain).min(bears - f64::from(self.slots) / 2.0);
+        self.tokens = (self.tokens + gain).min(f64::from(self.slots));
         self.filled = now;
         if self.tokens < 1.0 {
             self.paced = true;
@@ -168,8 +197,9 @@
 
     /// Notes a completed call.
     pub fn completed(&mut self, seen: Seen) {
-        let slow = self.is_slow(seen.took);
+        let slow = self.is_slow(seen.took, seen.beside);
         self.average(seen, slow);
+        self.average_wire(seen);
         self.note_speed(slow, 0);
         if seen.warmth == Warmth::Cold {
             self.turn_cold();
@@ -205,6 +235,13 @@
         }
     }
 
+    fn average_wire(&mut self, seen: Seen) {
+        let flying = u16::try_from(seen.flying).unwrap_or(u16::MAX);
+        let wire = f64::from(flying.saturating_sub(seen.busy));
+        self.wire += (wire - self.wire) / f64::from(SMOOTHING);
+        self.busy += (f64::from(seen.busy) - self.busy) / f64::from(SMOOTHING);
+    }
+
     fn average(&mut self, seen: Seen, slow: bool) {
         let Some(usual) = self.usual else {
             self.usual = Some(seen.took);
@@ -227,16 +264,17 @@
         let slots = f64::from(self.slots);
         if self.allowed < slots {
             if self.is_used(flying) {
-                self.allowed = (self.allowed + 1.0 / self.allowed).min(self.most);
+                self.allowed = (self.allowed + 1.0 / self.allowed).min(self.cap());
             }
             return;
         }
         let queue = self.queue();
         if queue > slots / 2.0 {
             self.allowed = (self.allowed - 1.0 / self.allowed).max(slots.min(self.most));
-        } else if queue < slots / 4.0 && self.is_used(flying) {
-            self.allowed = (self.allowed + 1.0 / self.allowed).min(self.most);
+        } else if queue < slots / 3.0 && self.is_used(flying) {
+            self.allowed += 1.0 / self.allowed;
         }
+        self.allowed = self.allowed.min(self.cap());
     }
 
     fn is_used(&self, flying: usize) -> bool {
@@ -255,11 +293,11 @@
     }
 
     /// Notes the failure of a call; each sign of a cold turn counts at once.
-    pub fn failed(&mut self, failure: Failure, took: Duration) {
+    pub fn failed(&mut self, failure: Failure, took: Duration, beside: usize) {
         match failure {
             Failure::Busy | Failure::ConnectionLost | Failure::NoConnection => self.turn_cold(),
             Failure::TimedOut => self.note_speed(true, 0),
-            Failure::Cancelled if self.is_slow(took) => self.note_speed(true, 0),
+            Failure::Cancelled if self.is_slow(took, beside) => self.note_speed(true, 0),
             _ => {}
         }
     }
--- a/crates/policy/src/query.rs
+++ b/crates/policy/src/query.rs
@@ -202,7 +202,7 @@
             if !sent && cx.level != Level::Banned {
                 self.pause(shard, now, cx);
             }
-            if sent && self.probing {
+            if self.probing && self.open() >= self.most_open(cx) {
                 return;
             }
         }
@@ -216,6 +216,7 @@
         cx: &mut Context<'_, R>,
         actions: &mut Vec<Action>,
     ) -> bool {
+        let ix = self.shard(shard);
         let slot = &mut self.slots[shard];
         slot.again = None;
         if cx.level == Level::Banned {
@@ -237,7 +238,7 @@
             attempt: u16::try_from(self.shards.len()).unwrap_or(u16::MAX),
             reason,
             target,
-            shard: ShardIx(u16::try_from(shard).unwrap_or(u16::MAX)),
+            shard: ix,
             at: now,
         };
         self.shards.push(sent.shard.0);
@@ -271,6 +272,7 @@
             Ok(reply) => {
                 seen.replied(now, took, &done.report);
                 cx.hedges.note(sent.shard, took);
+                cx.budget.note(false);
                 self.on_reply(shard, reply, now, cx, &mut actions);
             }
             Err(error) => {
@@ -278,9 +280,7 @@
                 if error.failure == Failure::SnapshotGone {
                     seen.lacks(self.snapshot);
                 }
-                if error.failure == Failure::Busy {
-                    cx.budget.note_overload(now);
-                }
+                cx.budget.note(error.failure == Failure::Busy);
                 self.on_error(shard, error, now, cx, &mut actions);
             }
         }
@@ -326,6 +326,16 @@
         if self.probing {
             self.probing = false;
             self.launch(Reason::First, now, cx, actions);
+            self.rearm(now);
+        }
+    }
+
+    /// Lets calls that were out for long while probing be hedged now.
+    fn rearm(&mut self, now: Time) {
+        for slot in &mut self.slots {
+            if slot.hedge.is_none() && !slot.open.is_empty() {
+                slot.hedge = Some(now);
+            }
         }
     }
 
@@ -350,7 +360,7 @@
         if repeatable && !is_final(error.failure) {
             self.retry(shard, error, now, cx, actions);
         }
-        if self.probing && self.open() == 0 {
+        if self.probing && self.open() < self.most_open(cx) {
             self.launch(Reason::First, now, cx, actions);
         }
     }
@@ -392,6 +402,11 @@
         self.slots[shard].pause(now, end, jitter);
     }
 
+    /// Calls that may be open before some target answered the request.
+    fn most_open<R: Rng>(&self, cx: &Context<'_, R>) -> usize {
+        if self.is_suspect(cx) { 1 } else { MOST_FIRST }
+    }
+
     /// A suspect that no target answered runs on one target at a time.
     fn is_suspect<R: Rng>(&self, cx: &Context<'_, R>) -> bool {
         cx.level != Level::Clear && !self.spec.proven
@@ -489,7 +504,7 @@
             self.replan(now, cx, actions);
             return;
         }
-        let most = if self.is_suspect(cx) { 1 } else { MOST_FIRST };
+        let most = self.most_open(cx);
         let careful = self.probing || self.is_suspect(cx);
         let blocked = careful && self.open() >= most;
         let free = is_unsent(failure);
@@ -517,22 +532,31 @@
             return;
         }
         if self.probing {
-            if self.open() < MOST_FIRST {
+            if self.open() < self.most_open(cx) {
                 self.launch(Reason::First, now, cx, actions);
             }
             return;
         }
         let unproven = !self.spec.proven && self.slots[shard].open.len() >= MOST_FIRST;
         let marked = cx.level != Level::Clear;
-        let off = cx.budget.is_overloaded(now) || unproven || marked;
-        if off || !self.slots[shard].may_send() || !self.has_idle(shard, now, cx) {
+        if unproven || marked || !self.slots[shard].may_send() {
+            return;
+        }
+        let off = cx.budget.is_overloaded() || !self.has_idle(shard, now, cx);
+        if off || !cx.budget.spend() {
+            let delay = cx.hedges.delay(self.shard(shard), self.spec.hedge);
+            self.slots[shard].hedge = Some(now + delay);
             return;
         }
-        if cx.budget.spend() && !self.send(shard, Reason::Hedge, now, cx, actions) {
+        if !self.send(shard, Reason::Hedge, now, cx, actions) {
             cx.budget.refund();
         }
     }
 
+    fn shard(&self, at: usize) -> ShardIx {
+        ShardIx(u16::try_from(at).unwrap_or(u16::MAX))
+    }
+
     /// Whether some replica that was not tried has no calls queued.
     fn has_idle<R: Rng>(&self, shard: usize, now: Time, cx: &Context<'_, R>) -> bool {
         let tried = &self.slots[shard].tried;
--- a/crates/tier/src/claim.rs
+++ b/crates/tier/src/claim.rs
@@ -51,8 +51,8 @@
         request: Request,
     ) -> Result<OnceServed, Refused> {
         let id = self.check_id(&request)?;
-        let place = self.admission.enter(request.class);
-        let Some(_place) = place else {
+        let shared = self.shared(&request.service);
+        let Some(_places) = self.admit(&shared, request.class) else {
             return unknown("overloaded", "this node is at its limit for the class");
         };
         let query = self.next_id();
--- a/crates/tier/src/entry.rs
+++ b/crates/tier/src/entry.rs
@@ -10,12 +10,12 @@
 };
 
 use arc_swap::ArcSwap;
-use heatherrun_kernel::message::Ran;
+use heatherrun_kernel::message::{Class, Ran};
 use heatherrun_kernel::port::Peers;
 use heatherrun_kernel::time::micros;
 use heatherrun_kernel::view::Service;
 use heatherrun_kernel::{Clock, NodeId, QueryId, ServiceId, ViewCell};
-use heatherrun_policy::admission::Admission;
+use heatherrun_policy::admission::{Admission, Place};
 use heatherrun_policy::budget::Budget;
 use heatherrun_policy::fleet::Fleet;
 use heatherrun_policy::hedge::Hedges;
@@ -46,6 +46,8 @@
     pub budget: Budget,
     /// Learned hedge delays.
     pub hedges: Hedges,
+    /// Requests of the service in work.
+    pub admission: Admission,
     percent: u32,
 }
 
@@ -210,7 +212,8 @@
 
     /// Admits a request and runs it.
     async fn serve(&self, mut request: Request) -> Result<Served, Refused> {
-        let Some(_place) = self.admission.enter(request.class) else {
+        let shared = self.shared(&request.service);
+        let Some(_places) = self.admit(&shared, request.class) else {
             let detail = "this node is at its limit for the class";
             let mut refused = refuse::not_run("overloaded", detail, "come again after retry_ms");
             refused.retry_ms = refuse::RETRY_MS;
@@ -224,6 +227,17 @@
         self.run(id, &request).await
     }
 
+    /// Takes a place at the node and one of the service.
+    pub(crate) fn admit<'a>(
+        &'a self,
+        shared: &'a Shared,
+        class: Class,
+    ) -> Option<(Place<'a>, Place<'a>)> {
+        let node = self.admission.enter(class)?;
+        let service = shared.admission.enter(class)?;
+        Some((node, service))
+    }
+
     /// Names the next query.
     pub(crate) fn next_id(&self) -> QueryId {
         QueryId {
@@ -241,7 +255,8 @@
         drop(drive);
         let name = request.trace.clone();
         let overloaded = drive::is_overload(&verdict);
-        self.admission.note(self.clock.now(), overloaded);
+        let shared = self.shared(&request.service);
+        shared.admission.note(self.clock.now(), overloaded);
         match verdict {
             Verdict::Answer(merged) => Ok(Served {
                 id: name,
@@ -277,6 +292,7 @@
         let made = Arc::new(Shared {
             budget: Budget::new(percent),
             hedges: Hedges::new(shards),
+            admission: Admission::new(PLACES),
             percent,
         });
         self.shared.rcu(|old| {
