--- a/crates/bench/benches/wire/main.rs
+++ b/crates/bench/benches/wire/main.rs
@@ -53,6 +53,9 @@
 const DOMAINS: [&str; 3] = ["wallis", "ticino", "zurich"];
 
 /// Tier of `nodes` nodes with `threads` threads each.
+///
+/// # Errors
+/// When no port is free or the configuration is refused.
 pub async fn tier(
     nodes: usize,
     threads: usize,
--- a/crates/ports/src/http_reply.rs
+++ b/crates/ports/src/http_reply.rs
@@ -1,6 +1,8 @@
 //! Responses with a body in memory, and the one JSON form of every refusal
 //! that the server itself makes.
 
+use std::fmt::Write as _;
+
 use bytes::Bytes;
 use heatherrun_schema::v1;
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -141,7 +143,11 @@
         status.canonical_reason().unwrap_or_default(),
     );
     if refused.retry_ms > 0 {
-        head += &format!("retry-after: {}\r\n", refused.retry_ms.div_ceil(1_000));
+        let _ = write!(
+            head,
+            "retry-after: {}\r\n",
+            refused.retry_ms.div_ceil(1_000)
+        );
     }
     Bytes::from(format!(
         "{head}content-length: {}\r\n\r\n{body}",
