--- a/crates/control/src/desk.rs
+++ b/crates/control/src/desk.rs
@@ -87,6 +87,8 @@
     pub tenure: &'a Tenure,
     /// Time since the leader last heard from the store.
     pub age: Duration,
+    /// True when another leader is heard, or there is no other node.
+    pub touch: bool,
 }
 
 impl Desk {
@@ -193,7 +195,8 @@
     /// Whether every node of the failure domain was heard lately.
     #[must_use]
     pub fn is_sure(&self, tenure: &Tenure, now: Time) -> bool {
-        self.grants.stance(tenure, now) != Stance::Unsure
+        let stance = self.grants.stance(tenure, now, true);
+        matches!(stance, Stance::Sure | Stance::Alone)
     }
 
     /// Takes the platform's list of VMs, of which those of this domain count.
@@ -226,7 +229,11 @@
     pub fn on_beat(&mut self, scene: &Scene<'_>, beat: &Beat) -> BeatAnswer {
         let now = scene.now;
         let known = self.note(now, beat);
-        let stance = self.grants.stance(scene.tenure, now);
+        let stance = self.grants.stance(
+            scene.tenure,
+            now,
+            scene.touch || self.touches(now, scene.me),
+        );
         let hold = scene.tenure.cut || scene.tenure.unsure;
         let leaving = beat.leaving || self.is_leaving(beat.from);
         let period = period(self.members.len());
@@ -276,6 +283,12 @@
         named
     }
 
+    /// Whether another node of the domain is heard.
+    fn touches(&self, now: Time, me: NodeId) -> bool {
+        let mut others = self.members.values().filter(|s| s.info.id != me);
+        others.any(|s| s.standing(now) != Standing::Silent)
+    }
+
     fn is_leaving(&self, node: NodeId) -> bool {
         let listed = self.members.get(&node).and_then(|seen| seen.listed);
         listed == Some(VmState::Leaving)
--- a/crates/control/src/grants.rs
+++ b/crates/control/src/grants.rs
@@ -11,6 +11,8 @@
 //!   node stands for election. Grants go on as they are.
 //! - *unsure*: the lease ended and some node is silent. Targets are used at
 //!   the share of doubt; exclusive units are not granted at all.
+//! - *cut*: the lease ended and nobody at all is heard. Nothing is granted,
+//!   since nobody could tell of a change.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -63,6 +65,8 @@
     Alone,
     /// It lost touch with the store and with some node.
     Unsure,
+    /// It lost touch with everyone.
+    Cut,
 }
 
 /// How the term of a leader began.
@@ -132,6 +136,7 @@
     held: BTreeMap<NodeId, BTreeSet<TargetId>>,
     changed: BTreeSet<TargetId>,
     doubted: BTreeSet<NodeId>,
+    listed: BTreeSet<NodeId>,
     /// When units that were taken away while held are surely unused.
     ending: BTreeMap<TargetId, Time>,
     /// True until the VM list was read after a lapse.
@@ -156,6 +161,7 @@
             held: BTreeMap::new(),
             changed: BTreeSet::new(),
             doubted: BTreeSet::new(),
+            listed: BTreeSet::new(),
             ending: BTreeMap::new(),
             unlisted: start == Start::Lapse,
         }
@@ -219,17 +225,24 @@
             self.doubted.extend(silent);
         }
         self.doubted.retain(|node| listed.contains(node));
+        self.listed.clone_from(listed);
         self.plan(now);
     }
 
-    /// What the leader may grant now.
+    /// What the leader `me` may grant now; `touch` tells whether it hears
+    /// another node or leader, or knows of none.
     #[must_use]
-    pub fn stance(&self, tenure: &Tenure, now: Time) -> Stance {
+    pub fn stance(&self, tenure: &Tenure, now: Time, touch: bool) -> Stance {
         if !tenure.unsure {
             return Stance::Sure;
         }
+        if !touch {
+            return Stance::Cut;
+        }
         let heard = |p: &Peer| p.leaving || (p.acked && now.since(p.heard) < SILENT);
-        if !tenure.paused && self.peers.values().all(heard) {
+        let all = self.peers.values().all(heard);
+        let listed = self.listed.iter().all(|n| self.peers.contains_key(n));
+        if all && listed && !tenure.paused {
             return Stance::Alone;
         }
         Stance::Unsure
@@ -356,7 +369,7 @@
 
     fn grant(&mut self, now: Time, node: NodeId, stance: Stance) -> Vec<Grant> {
         let mut units = self.held.get(&node).cloned().unwrap_or_default();
-        if stance != Stance::Unsure {
+        if matches!(stance, Stance::Sure | Stance::Alone) {
             units.extend(self.wanted.get(&node).into_iter().flatten());
         }
         let doubt = self.doubt();
@@ -485,7 +498,7 @@
 /// Share that a slot may be used with.
 fn share(slot: &Slot, stance: Stance, doubt: bool, taken: bool) -> u8 {
     match (stance, slot.unit.exclusive) {
-        (Stance::Unsure, true) => 0,
+        (Stance::Cut, _) | (Stance::Unsure, true) => 0,
         (Stance::Unsure, false) if taken || slot.share == SHARE_REST => 0,
         (Stance::Unsure, false) => SHARE_DOUBT,
         (_, true) => SHARE_FULL,
--- a/crates/control/src/rights.rs
+++ b/crates/control/src/rights.rs
@@ -9,7 +9,7 @@
 use crate::grants;
 
 /// A proof that nothing newer can be known lasts this long.
-pub const PROOF: Duration = Duration::from_secs(3);
+pub const PROOF: Duration = Duration::from_secs(5);
 
 /// One unit held by this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,9 +95,15 @@
         self.ending.retain(|unit, _| !self.units.contains_key(unit));
     }
 
-    /// Forgets units that were taken back and on which no call runs.
-    pub fn end(&mut self, runs: impl Fn(TargetId) -> bool) {
+    /// Forgets what cannot be used any more at `now`, and units that were
+    /// taken back once no call on them runs. What is left can be extended.
+    pub fn settle(&mut self, now: Time, runs: impl Fn(TargetId) -> bool) {
         self.ending.retain(|unit, _| runs(*unit));
+        let mut kept = HashMap::with_capacity(self.units.len());
+        for unit in self.units.keys() {
+            kept.extend(self.at(*unit, now).map(|held| (*unit, held)));
+        }
+        self.units = kept;
     }
 
     /// Extends what is held, as the leader said that it stands.
--- a/crates/tier/src/control/beats.rs
+++ b/crates/tier/src/control/beats.rs
@@ -58,7 +58,7 @@
             state.follow(self.info.clone(), now);
         }
         let link = state.link.clone()?;
-        let rights = self.end_units();
+        let rights = self.settle_rights(now);
         let held = rights.told(now);
         let beat = Beat {
             from: self.info.id,
@@ -76,16 +76,21 @@
         Some((link.info, beat))
     }
 
-    /// Forgets units that were taken back once no call on them runs.
-    fn end_units(&self) -> Arc<Rights> {
+    /// Forgets what cannot be used any more, before it is told.
+    fn settle_rights(&self, now: Time) -> Arc<Rights> {
         let rights = self.rights.load_full();
+        let mut next = Rights::clone(&rights);
         if rights.ending.is_empty() {
+            next.settle(now, |_| false);
+        } else {
+            let reports = self.owner.reports();
+            next.settle(now, |unit| {
+                reports.iter().any(|(id, r)| *id == unit && r.in_flight > 0)
+            });
+        }
+        if next == *rights {
             return rights;
         }
-        let reports = self.owner.reports();
-        let runs = |unit| reports.iter().any(|(id, r)| *id == unit && r.in_flight > 0);
-        let mut next = Rights::clone(&rights);
-        next.end(runs);
         let next = Arc::new(next);
         self.rights.store(Arc::clone(&next));
         next
--- a/crates/tier/src/control/mod.rs
+++ b/crates/tier/src/control/mod.rs
@@ -202,6 +202,7 @@
         let tenure = state.lead.tenure();
         let age = now.since(state.stored);
         let head = state.replica.head();
+        let touch = state.touches(&self.info, now);
         let State { desk, link, .. } = &mut *state;
         let (Some(tenure), Some(desk)) = (tenure, desk) else {
             let hint = link.as_ref().map(|l| l.info.id);
@@ -212,6 +213,7 @@
             me: self.info.id,
             tenure: &tenure,
             age,
+            touch,
         };
         let answer = desk.on_beat(&scene, beat);
         if beat.revision > head {
@@ -453,6 +455,14 @@
         self.link.is_none() || now.since(self.heard) >= self.silence()
     }
 
+    /// Whether another leader is heard, or no other node is known.
+    fn touches(&self, me: &NodeInfo, now: Time) -> bool {
+        let others = self.remotes.iter().filter(|(d, _)| **d != me.domain);
+        let mut heard = others.map(|(_, r)| now.since(r.heard) < grants::SILENT);
+        let alone = self.replica.view.nodes.keys().all(|n| *n == me.id);
+        alone || heard.any(|h| h)
+    }
+
     fn follow(&mut self, info: NodeInfo, now: Time) {
         if self.link.as_ref().is_some_and(|l| l.info == info) {
             return;
--- a/crates/tier/src/control/pulls.rs
+++ b/crates/tier/src/control/pulls.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use futures::stream::{FuturesUnordered, StreamExt};
 use heatherrun_control::grants::SILENT;
 use heatherrun_control::replica::Scope;
 use heatherrun_control::rights::Rights;
@@ -144,20 +145,21 @@
             seen: head.0,
         };
         let asked = peers.iter().map(|p| self.ask(p, Ask::Pull(pull.clone())));
-        let mut found = false;
-        let mut answered = false;
-        for answer in join_all(asked).await {
-            if let Some(Answer::Pull(answer)) = answer {
-                answered = true;
-                found |= self.on_pulled(answer);
+        let mut answers: FuturesUnordered<_> = asked.collect();
+        while let Some(answer) = answers.next().await {
+            let Some(Answer::Pull(answer)) = answer else {
+                continue;
+            };
+            if failed {
+                let mut rights = Rights::clone(&self.rights.load());
+                rights.prove(sent);
+                self.rights.store(Arc::new(rights));
+            }
+            if self.on_pulled(answer) {
+                return true;
             }
         }
-        if answered && failed {
-            let mut rights = Rights::clone(&self.rights.load());
-            rights.prove(sent);
-            self.rights.store(Arc::new(rights));
-        }
-        found
+        false
     }
 
     fn on_pulled(&self, answer: PullAnswer) -> bool {
