Grants say whether they may be used in doubt

Cause: a node took units for exclusive when their grants came before the configuration that names them, and gave them up in an outage.

--- a/crates/control/src/grants.rs
+++ b/crates/control/src/grants.rs
@@ -412,6 +412,7 @@
                 unit: id,
                 epoch: slot.epoch,
                 share,
+                exclusive: slot.unit.exclusive,
             });
         }
         grants
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -144,7 +144,7 @@
         match self.phase {
             Phase::Follow if !quiet => {
                 self.retry = now + delay;
-                Step::Wait(now + RETRY / 5)
+                Step::Wait(now + RETRY / 2)
             }
             Phase::Follow if now < self.retry => Step::Wait(self.retry),
             Phase::Follow => Step::Look,
--- a/crates/control/src/rights.rs
+++ b/crates/control/src/rights.rs
@@ -66,13 +66,7 @@
 
     /// Takes all grants of an answer that end at `until`. What was held when
     /// the answer came, and still is, keeps its `since`.
-    pub fn take(
-        &mut self,
-        now: Time,
-        grants: &[Grant],
-        unix: u64,
-        exclusive: impl Fn(TargetId) -> bool,
-    ) {
+    pub fn take(&mut self, now: Time, grants: &[Grant], unix: u64) {
         let lapsed = now >= self.until;
         let mut units = HashMap::with_capacity(grants.len());
         for grant in grants {
@@ -82,7 +76,7 @@
                 epoch: grant.epoch,
                 share: grant.share,
                 since: kept.map_or(unix, |h| h.since),
-                exclusive: exclusive(grant.unit),
+                exclusive: grant.exclusive,
             };
             units.insert(grant.unit, held);
         }
@@ -145,5 +139,6 @@
         unit,
         epoch: held.epoch,
         share: held.share,
+        exclusive: held.exclusive,
     }
 }
--- a/crates/kernel/src/control.rs
+++ b/crates/kernel/src/control.rs
@@ -69,6 +69,8 @@
     pub epoch: Epoch,
     /// Part of the target's limit that may be used, in per cent; see [`part`].
     pub share: u8,
+    /// True when it may not be used in doubt.
+    pub exclusive: bool,
 }
 
 /// A leader's answer to a [`Beat`].
--- a/crates/tier/src/control/beats.rs
+++ b/crates/tier/src/control/beats.rs
@@ -152,10 +152,7 @@
         let mut rights = Rights::clone(&self.rights.load());
         rights.hold = answer.hold;
         if let Some(grants) = &answer.grants {
-            let view = self.view.load();
-            let own = self.info.domain;
-            let near = |unit| view.targets.get(&unit).is_some_and(|t| t.domain == own);
-            rights.take(now, grants, unix, |unit| !near(unit));
+            rights.take(now, grants, unix);
             rights.until = until;
             self.beat.notify_one();
         } else if !answer.tell {
