Addresses by service, and once-only records that move with their partition

Epochs count a unit's moves one by one within a term, so that the next holder can tell that no one stood between. Shares halve a limit in whole numbers: the side in doubt of a target that bears one call gets none.

--- a/crates/control/src/grants.rs
+++ b/crates/control/src/grants.rs
@@ -39,7 +39,7 @@
 /// A node that was not heard for this long gets no units.
 pub const SILENT: Duration = Duration::from_secs(5);
 
-/// Bits of an epoch that count within one term.
+/// Bits of an epoch that count a unit's moves within one term.
 const EPOCH_BITS: u32 = 20;
 
 /// One unit as the configuration names it.
@@ -128,7 +128,6 @@
 #[derive(Clone, Debug)]
 pub struct Grants {
     term: Epoch,
-    count: u64,
     opened: Time,
     slots: BTreeMap<TargetId, Slot>,
     peers: BTreeMap<NodeId, Peer>,
@@ -137,6 +136,8 @@
     changed: BTreeSet<TargetId>,
     doubted: BTreeSet<NodeId>,
     listed: BTreeSet<NodeId>,
+    /// Last epochs of units that were taken away.
+    last: BTreeMap<TargetId, Epoch>,
     /// When units that were taken away while held are surely unused.
     ending: BTreeMap<TargetId, Time>,
     /// True until the VM list was read after a lapse.
@@ -153,7 +154,6 @@
         };
         Self {
             term,
-            count: 0,
             opened: now + wait,
             slots: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -162,6 +162,7 @@
             changed: BTreeSet::new(),
             doubted: BTreeSet::new(),
             listed: BTreeSet::new(),
+            last: BTreeMap::new(),
             ending: BTreeMap::new(),
             unlisted: start == Start::Lapse,
         }
@@ -188,7 +189,7 @@
             let made = Slot {
                 unit,
                 holder: None,
-                epoch: Epoch(0),
+                epoch: self.last.get(&id).copied().unwrap_or_default(),
                 share: 0,
                 until: self.opened.max(ending).max(unit.free),
             };
@@ -201,6 +202,7 @@
         let Some(slot) = self.slots.remove(&id) else {
             return;
         };
+        self.last.insert(id, slot.epoch);
         if let Some(node) = slot.holder {
             self.held.entry(node).or_default().remove(&id);
             self.ending.insert(id, slot.until);
@@ -211,7 +213,6 @@
     pub fn raise(&mut self, term: Epoch) {
         if term > self.term {
             self.term = term;
-            self.count = 0;
         }
     }
 
@@ -397,8 +398,7 @@
                 continue;
             }
             if taken {
-                self.count += 1;
-                slot.epoch = Epoch((self.term.0 << EPOCH_BITS) + self.count);
+                slot.epoch = Epoch(slot.epoch.0.max(self.term.0 << EPOCH_BITS) + 1);
                 slot.holder = Some(node);
                 self.held.entry(node).or_default().insert(id);
                 self.changed.insert(id);
--- a/crates/kernel/src/control.rs
+++ b/crates/kernel/src/control.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::message::NodeInfo;
+use crate::message::{NodeInfo, OnceRecords};
 use crate::port::KeyValue;
 use crate::view::{Owner, Standing};
 use crate::{CallId, DomainId, Epoch, NodeId, QueryId, Revision};
@@ -295,6 +295,8 @@
     Nudge(Revision),
     /// An operator wants the receiver to shut down gracefully.
     Drain,
+    /// Records of a partition, from its last holder to the next one.
+    Records(OnceRecords),
     /// Claim of a once-only request.
     Claim(Claim),
     /// End of a claimed request.
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -8,6 +8,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use heatherrun_kernel::Time;
+use heatherrun_kernel::control::part;
 use heatherrun_kernel::message::{Failure, Warmth};
 
 /// Calls in flight that a warm target bears for each of its slots: those in
@@ -116,8 +117,7 @@
     /// Limit, of which `share` per cent may be used; at least one.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn now(&self, share: u8) -> u16 {
-        let part = self.allowed * f64::from(share.min(100)) / 100.0;
-        (part as u16).max(1)
+        part((self.allowed as u16).max(1), share)
     }
 
     /// Latency of calls as they usually take.
@@ -128,7 +128,7 @@
     /// Expected time between two places that come free.
     pub fn turn(&self, share: u8) -> Duration {
         let took = self.recent.max(self.usual.unwrap_or_default());
-        took / u32::from(self.now(share))
+        took / u32::from(self.now(share).max(1))
     }
 
     /// Whether a call that took or waits this long is slow.
--- a/crates/ports/src/caller.rs
+++ b/crates/ports/src/caller.rs
@@ -98,14 +98,18 @@
 
 fn ask_addresses(node: &Node, received: &Received) -> Result<Reply, Refused> {
     let view = node.view.load();
+    let mut asked = "";
     for pair in received.head.uri.query().unwrap_or_default().split('&') {
-        let service = pair.strip_prefix("service=");
-        if let Some(name) = service.filter(|name| view.service(name).is_none()) {
+        let Some(name) = pair.strip_prefix("service=") else {
+            continue;
+        };
+        if view.service(name).is_none() {
             let detail = format!("no service named {name:?}");
             return Err(refuse::not_run("unknown-service", detail, "check the name"));
         }
+        asked = name;
     }
-    Ok(json(StatusCode::OK, &addresses(&view, node.keep_secs)))
+    Ok(json(StatusCode::OK, &node.addresses(asked)))
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refused> {
--- a/crates/tier/src/control/beats.rs
+++ b/crates/tier/src/control/beats.rs
@@ -10,7 +10,7 @@
 use heatherrun_kernel::message::NodeInfo;
 use heatherrun_kernel::{Epoch, NodeId, Time};
 
-use super::{Control, Link};
+use super::{Control, Link, State};
 
 /// Time until the next beat when there is more news.
 const SOON: Duration = Duration::from_millis(20);
@@ -20,8 +20,13 @@
 
 impl Control {
     pub(super) async fn run_beats(self: &Arc<Self>) {
+        let mut doubted = false;
         loop {
             let wait = self.beat_once().await;
+            if self.doubted() != doubted {
+                doubted = !doubted;
+                self.log_doubt(doubted);
+            }
             tokio::select! {
                 biased;
                 () = self.beat.notified() => {}
@@ -30,6 +35,15 @@
         }
     }
 
+    fn log_doubt(&self, doubted: bool) {
+        let node = self.info.name.as_str();
+        if doubted {
+            log::warn!(node; "view.doubted");
+        } else {
+            log::info!(node; "view.proved");
+        }
+    }
+
     /// Beats once; returns the time until the next beat.
     async fn beat_once(self: &Arc<Self>) -> Duration {
         let Some((leader, beat)) = self.make_beat() else {
@@ -127,7 +141,7 @@
             now.0
                 .saturating_sub(heatherrun_kernel::time::micros(answer.age)),
         ));
-        self.take_grants(now, &answer);
+        self.take_grants(&mut state, now, &answer);
         let (term, seen, more) = (answer.term, answer.news.seen, answer.news.more);
         let leads = state.desk.is_some();
         let lost = !leads && self.take_news(&mut state, answer.news, Scope::All);
@@ -146,12 +160,13 @@
         }
     }
 
-    fn take_grants(&self, now: Time, answer: &BeatAnswer) {
+    fn take_grants(&self, state: &mut State, now: Time, answer: &BeatAnswer) {
         let until = answer.echo + answer.valid;
         let unix = self.unix_ms();
         let mut rights = Rights::clone(&self.rights.load());
         rights.hold = answer.hold;
         if let Some(grants) = &answer.grants {
+            self.close_records(state, &rights, grants);
             rights.take(now, grants, unix);
             rights.until = until;
             self.beat.notify_one();
--- a/crates/tier/src/control/mod.rs
+++ b/crates/tier/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod election;
 pub mod guests;
 pub mod pulls;
+pub mod records;
 pub mod stop;
 pub mod watch;
 
@@ -27,10 +28,10 @@
 use heatherrun_control::replica::{self, Change, Replica, Scope};
 use heatherrun_control::rights::Rights;
 use heatherrun_kernel::control::{Answer, Ask, Beat, Item, MemberNote, News, Pull, PullAnswer};
-use heatherrun_kernel::message::NodeInfo;
+use heatherrun_kernel::message::{NodeInfo, OnceRecords};
 use heatherrun_kernel::port::{Peers, Platform, StoreCall, StoreError, StoreReply, Vm, VmState};
 use heatherrun_kernel::view::Standing;
-use heatherrun_kernel::{Clock, DomainId, Epoch, NodeId, Revision, Time, ViewCell};
+use heatherrun_kernel::{Clock, DomainId, Epoch, NodeId, Revision, TargetId, Time, ViewCell};
 use tokio::sync::Notify;
 
 use crate::owner::Owner;
@@ -44,6 +45,9 @@
 /// Reads the load of this node in per cent.
 pub type LoadFn = Arc<dyn Fn() -> u8 + Send + Sync>;
 
+/// Closes the records of a partition and returns them.
+pub type ExportFn = Arc<dyn Fn(TargetId) -> Option<OnceRecords> + Send + Sync>;
+
 /// The leader as this node knows it.
 #[derive(Clone, Debug)]
 struct Link {
@@ -74,6 +78,8 @@
     pool: Pool,
     remotes: BTreeMap<DomainId, Remote>,
     listed: Vec<Vm>,
+    /// Records of partitions that moved away, for their next holders.
+    records: Vec<OnceRecords>,
     /// When the store last answered this node.
     stored: Time,
     /// When the store last failed this node.
@@ -88,6 +94,7 @@
     rights: Arc<ArcSwap<Rights>>,
     owner: Arc<Owner>,
     load: LoadFn,
+    export: ExportFn,
     peers: Peers,
     platform: Platform,
     state: Mutex<State>,
@@ -117,6 +124,8 @@
     pub owner: Arc<Owner>,
     /// Load of the node.
     pub load: LoadFn,
+    /// Takes the records of a partition that moves away.
+    pub export: ExportFn,
     /// Peers.
     pub peers: Peers,
     /// Platform.
@@ -140,6 +149,7 @@
             pool: Pool::default(),
             remotes: BTreeMap::new(),
             listed: Vec::new(),
+            records: Vec::new(),
             stored: Time(0),
             failed: None,
         };
@@ -150,6 +160,7 @@
             rights: parts.rights,
             owner: parts.owner,
             load: parts.load,
+            export: parts.export,
             peers: parts.peers,
             platform: parts.platform,
             state: Mutex::new(state),
@@ -379,6 +390,7 @@
         if adopted {
             self.beat.notify_one();
         }
+        self.hand_on(state);
     }
 
     fn publish(&self, state: &State) {
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -8,7 +8,9 @@
 use heatherrun_kernel::message::NodeInfo;
 use heatherrun_kernel::port::{Peers, Platform, Targets};
 use heatherrun_kernel::{Clock, Revision, TargetId, Time, ViewCell};
+use heatherrun_schema::v1;
 
+use crate::addresses::{addresses, addresses_of};
 use crate::control::{Control, Parts};
 use crate::entry::Entry;
 use crate::owner::{Owner, Right, RightFn};
@@ -65,7 +67,7 @@
             Arc::clone(&owner),
             info.started,
         );
-        let loaded = Arc::clone(&entry);
+        let (loaded, kept) = (Arc::clone(&entry), Arc::clone(&entry));
         let control = Control::new(Parts {
             info: info.clone(),
             clock,
@@ -73,6 +75,7 @@
             rights,
             owner: Arc::clone(&owner),
             load: Arc::new(move || loaded.load().1),
+            export: Arc::new(move |unit| kept.once().export(unit)),
             peers,
             platform: platform.clone(),
         });
@@ -101,6 +104,10 @@
                 self.owner.suspects().note(told);
                 Answer::Taken
             }
+            Ask::Records(records) => {
+                self.entry.once().import(records.clone());
+                Answer::Taken
+            }
             _ => self.control.answer(message),
         }
     }
@@ -125,6 +132,18 @@
         self.view.load().revision
     }
 
+    /// Addresses of the nodes that serve a service, or of any when there is
+    /// no such service.
+    #[must_use]
+    pub fn addresses(&self, service: &str) -> v1::AddressesAnswer {
+        let view = self.view.load();
+        let Some(service) = view.service(service) else {
+            return addresses(&view, self.keep_secs);
+        };
+        let doubted = self.control.doubted().then_some(self.info.id);
+        addresses_of(&view, service, self.keep_secs, doubted)
+    }
+
     /// Starts the planned stop: the node is not offered any more and hands
     /// its units over, but goes on serving. See [`Self::stopped`].
     pub fn begin_stop(&self) {
