--- a/crates/bench/src/table.rs
+++ b/crates/bench/src/table.rs
@@ -72,6 +72,10 @@
 
 /// Prints one row.
 pub fn print(row: &Row) {
+    let mut notes = row.notes.clone();
+    for (kind, count) in &row.tally.kinds {
+        notes.push(format!("{count} {kind}"));
+    }
     let (t, s) = (&row.tally, &row.strain);
     println!(
         "| {} | {} | {} | {:.0} | {:.0} | {:.0} | {:.3} | {:.2} | {} | {} | {} | {} | {} | {} \
@@ -97,6 +101,6 @@
         s.breaches,
         s.unknowable,
         s.falls,
-        row.notes.join("; "),
+        notes.join("; "),
     );
 }
--- a/crates/bench/src/tally.rs
+++ b/crates/bench/src/tally.rs
@@ -1,6 +1,6 @@
 //! What came of each request, checked against what the searchers recorded.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use hdrhistogram::Histogram;
 use heatherrun_kernel::message::Class;
@@ -111,6 +111,8 @@
     pub goodput: Vec<u64>,
     /// Requests sent and whole answers by class.
     pub classes: [(u64, u64); 3],
+    /// Measured refusals by their kind.
+    pub kinds: BTreeMap<String, u64>,
     denied: Vec<String>,
     once: Vec<String>,
 }
@@ -138,6 +140,7 @@
             false_not_run: 0,
             goodput: Vec::new(),
             classes: [(0, 0); 3],
+            kinds: BTreeMap::new(),
             denied: Vec::new(),
             once: Vec::new(),
         }
@@ -151,6 +154,11 @@
         if outcome.kind == Kind::Once {
             self.once.push(outcome.body.clone());
         }
+        if let Told::NotRun(kind) | Told::Unknown(kind) = &outcome.told
+            && measured
+        {
+            *self.kinds.entry(kind.clone()).or_default() += 1;
+        }
         match &outcome.told {
             Told::Answer(answer) => {
                 self.check(cell, &outcome, answer);
@@ -234,6 +242,9 @@
         self.doubled += other.doubled;
         self.false_cover += other.false_cover;
         self.false_not_run += other.false_not_run;
+        for (kind, count) in &other.kinds {
+            *self.kinds.entry(kind.clone()).or_default() += count;
+        }
         for (mine, theirs) in self.classes.iter_mut().zip(other.classes) {
             mine.0 += theirs.0;
             mine.1 += theirs.1;
