--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod addresses;
 mod batches;
 mod claim;
+pub mod control;
 mod drive;
 pub mod entry;
 mod lane;
