Admission gives back only places that it gave

Cause: the place was made, and dropped, for refused requests too, since then_some evaluates its argument; each refusal lowered the count of requests in work below zero, and the node refused for ever. Change: the place is made after the count was raised. Conclusion: a start under load recovers.

--- a/crates/bench/src/cell.rs
+++ b/crates/bench/src/cell.rs
@@ -219,7 +219,7 @@
             owner.suspects().note(told);
             Answer::Taken
         }
-        Ask::Beat(_) => Answer::Refused(None),
+        _ => Answer::Refused(None),
     }
 }
 
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -72,7 +72,7 @@
         self.taken
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, step)
             .is_ok()
-            .then_some(Place { admission: self })
+            .then(|| Place { admission: self })
     }
 
     /// Notes how a request ended: refused for load, or not.
