Never more calls in flight than the declared slots bear

Cause: the bound was half of the connections, 15 for a searcher of 3 slots, and the limit grew past what a warm target bears, whose queue is hidden in the spread of service times. Change: the bound is twice the slots, wherever the owner is. A far owner gets less throughput from a target, not more risk.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod fleet;
 pub mod gate;
 pub mod hedge;
-mod limit;
+pub mod limit;
 pub mod marks;
 pub mod once;
 pub mod proof;
--- a/crates/tier/src/lane.rs
+++ b/crates/tier/src/lane.rs
@@ -11,6 +11,7 @@
 use heatherrun_kernel::view::Target;
 use heatherrun_kernel::{CallId, Clock, Time};
 use heatherrun_policy::gate::{Ask, Bounds, Gate, Step};
+use heatherrun_policy::limit::BEARS_FACTOR;
 use heatherrun_policy::proof::Proofs;
 use tokio::sync::oneshot;
 
@@ -148,11 +149,13 @@
     }
 }
 
-/// Calls in flight at the most: half of the connections, so that a successor
-/// finds the other half free. What the target bears is found by the gate.
+/// Calls in flight at the most: what the warm target bears, wherever its
+/// owner is, and no more than half of the connections, so that a successor
+/// finds the other half free.
 fn bounds(target: &Target) -> Bounds {
+    let bears = target.slots.saturating_mul(BEARS_FACTOR);
     Bounds {
         slots: target.slots,
-        most: (target.connections / 2).max(1),
+        most: bears.min(target.connections / 2).max(1),
     }
 }
