--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -69,7 +69,7 @@
 /// One open connection; it closes when dropped.
 struct Link {
     sender: SendRequest<Full<Bytes>>,
-    connection: Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    connection: Box<Connection<TokioIo<TcpStream>, Full<Bytes>>>,
     used: Instant,
     _place: Place,
 }
@@ -166,7 +166,7 @@
     /// Whether the connection can carry a request: the peer has neither
     /// closed it nor sent anything unasked.
     fn is_fresh(&mut self) -> bool {
-        (&mut self.connection).now_or_never().is_none() && self.sender.is_ready()
+        (&mut *self.connection).now_or_never().is_none() && self.sender.is_ready()
     }
 
     async fn send(&mut self, request: Request<Full<Bytes>>, most: usize) -> Sent {
@@ -243,7 +243,7 @@
 
     /// Keeps a connection whose reply has been read whole.
     fn put_back(self: &Arc<Self>, mut link: Link) {
-        if (&mut link.connection).now_or_never().is_some() {
+        if (&mut *link.connection).now_or_never().is_some() {
             return;
         }
         link.used = Instant::now();
@@ -279,7 +279,7 @@
     let (sender, connection) = made.map_err(|_| ExchangeError::NotSent)?;
     Ok(Link {
         sender,
-        connection,
+        connection: Box::new(connection),
         used: Instant::now(),
         _place: place,
     })
--- a/crates/ports/src/target.rs
+++ b/crates/ports/src/target.rs
@@ -8,7 +8,8 @@
 use heatherrun_kernel::port::{Endpoint, Targets, async_fn};
 use heatherrun_kernel::time::micros;
 use heatherrun_kernel::{CallId, TargetId};
-use http::{Request, Response, StatusCode};
+use http::header::{HOST, HeaderMap, HeaderValue};
+use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 
 use crate::http_client::{Client, ExchangeError, Route};
@@ -17,6 +18,9 @@
 /// Longest reply of a target, in bytes.
 const REPLY_BYTES: usize = 4 << 20;
 
+/// Headers of a call, with room for those the library adds.
+const HEADERS: usize = 16;
+
 /// Connections kept free for cancellations.
 const SPARE: usize = 1;
 
@@ -44,7 +48,7 @@
     if call.left.is_zero() {
         return Err(CallError::not_run(Failure::Expired));
     }
-    let id = call.id.to_string();
+    let id = name(call.id);
     let request = encode(&call, &id);
     let route = Route {
         address: endpoint.address,
@@ -69,38 +73,52 @@
     usize::from(endpoint.connections / 2).max(1)
 }
 
+/// Identifier of a call as a header's value.
+fn name(id: CallId) -> HeaderValue {
+    let text = HeaderValue::try_from(id.to_string());
+    text.unwrap_or_else(|_| HeaderValue::from_static(""))
+}
+
 /// Whether a reply repeats the identifier of the call.
-fn repeats(reply: &Response<Bytes>, id: &str) -> bool {
-    let named = reply.headers().get(wire::CALL);
-    named.is_some_and(|value| value.as_bytes() == id.as_bytes())
+fn repeats(reply: &Response<Bytes>, id: &HeaderValue) -> bool {
+    reply.headers().get(&wire::CALL) == Some(id)
+}
+
+/// Request to a target's path with the identifier of a call.
+fn post(path: &'static str, id: &HeaderValue, body: Bytes) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static(path);
+    let mut headers = HeaderMap::with_capacity(HEADERS);
+    headers.insert(HOST, HeaderValue::from_static("target"));
+    headers.insert(wire::CALL.clone(), id.clone());
+    *request.headers_mut() = headers;
+    request
 }
 
-fn encode(call: &TargetCall, id: &str) -> Request<Full<Bytes>> {
+fn encode(call: &TargetCall, id: &HeaderValue) -> Request<Full<Bytes>> {
     let kind = match call.kind {
         CallKind::Search => "search",
         CallKind::Repeatable => "repeatable",
         CallKind::Once => "once",
     };
-    let body = Full::new(Bytes::copy_from_slice(&call.body));
-    let built = Request::post("/call")
-        .header(http::header::HOST, "target")
-        .header(wire::CALL, id)
-        .header(wire::KIND, kind)
-        .header(wire::SERVICE, call.service.to_string())
-        .header(wire::SHARD, call.shard.0)
-        .header(wire::SNAPSHOT, call.snapshot.0)
-        .header(wire::MAP, call.map.0)
-        .header(wire::EPOCH, call.epoch.0)
-        .header(wire::LEFT, micros(call.left))
-        .body(body);
-    built.unwrap_or_default()
+    let mut request = post("/call", id, Bytes::copy_from_slice(&call.body));
+    let headers = request.headers_mut();
+    headers.insert(wire::KIND.clone(), HeaderValue::from_static(kind));
+    headers.insert(wire::SERVICE.clone(), call.service.0.into());
+    headers.insert(wire::SHARD.clone(), call.shard.0.into());
+    headers.insert(wire::SNAPSHOT.clone(), call.snapshot.0.into());
+    headers.insert(wire::MAP.clone(), call.map.0.into());
+    headers.insert(wire::EPOCH.clone(), call.epoch.0.into());
+    headers.insert(wire::LEFT.clone(), micros(call.left).into());
+    request
 }
 
 fn decode(reply: &Response<Bytes>) -> CallResult {
     if reply.status() == StatusCode::OK {
         return wire::decode_reply(reply.body()).map_err(|_| CallError::unknown(Failure::BadReply));
     }
-    let reason = reply.headers().get(wire::NOT_RUN);
+    let reason = reply.headers().get(&wire::NOT_RUN);
     match reason.and_then(|v| parse_failure(v.to_str().ok()?)) {
         Some(Failure::Cancelled) => Err(CallError::unknown(Failure::Cancelled)),
         Some(failure) => Err(CallError::not_run(failure)),
@@ -138,11 +156,7 @@
 }
 
 async fn cancel(client: &Client, endpoint: Endpoint, _target: TargetId, id: CallId) {
-    let request = Request::post("/cancel")
-        .header(http::header::HOST, "target")
-        .header(wire::CALL, id.to_string())
-        .body(Full::default())
-        .unwrap_or_default();
+    let request = post("/cancel", &name(id), Bytes::new());
     let route = Route {
         address: endpoint.address,
         connections: share(endpoint),
--- a/crates/ports/src/wire.rs
+++ b/crates/ports/src/wire.rs
@@ -2,26 +2,27 @@
 
 use heatherrun_kernel::message::{Lot, TargetReply, TargetReport};
 use heatherrun_kernel::{MapRev, Snapshot};
+use http::HeaderName;
 use serde::{Deserialize, Serialize};
 
 /// Identifier of a call, repeated by the reply.
-pub const CALL: &str = "heatherrun-call";
-/// Service, as a hash.
-pub const SERVICE: &str = "heatherrun-service";
+pub static CALL: HeaderName = HeaderName::from_static("heatherrun-call");
+/// Service, as the hash of its name.
+pub static SERVICE: HeaderName = HeaderName::from_static("heatherrun-service");
 /// Shard searched.
-pub const SHARD: &str = "heatherrun-shard";
+pub static SHARD: HeaderName = HeaderName::from_static("heatherrun-shard");
 /// How the call may be treated: search, repeatable or once.
-pub const KIND: &str = "heatherrun-kind";
+pub static KIND: HeaderName = HeaderName::from_static("heatherrun-kind");
 /// Snapshot pinned.
-pub const SNAPSHOT: &str = "heatherrun-snapshot";
+pub static SNAPSHOT: HeaderName = HeaderName::from_static("heatherrun-snapshot");
 /// Shard map pinned.
-pub const MAP: &str = "heatherrun-map";
+pub static MAP: HeaderName = HeaderName::from_static("heatherrun-map");
 /// Generation of the sender's right.
-pub const EPOCH: &str = "heatherrun-epoch";
+pub static EPOCH: HeaderName = HeaderName::from_static("heatherrun-epoch");
 /// Time left, in microseconds.
-pub const LEFT: &str = "heatherrun-left";
+pub static LEFT: HeaderName = HeaderName::from_static("heatherrun-left");
 /// Why a call was refused before it ran.
-pub const NOT_RUN: &str = "heatherrun-not-run";
+pub static NOT_RUN: HeaderName = HeaderName::from_static("heatherrun-not-run");
 
 /// JSON form of a reply; the body of a request's answer is text.
 #[derive(Serialize, Deserialize)]
--- a/crates/standins/src/searcher.rs
+++ b/crates/standins/src/searcher.rs
@@ -10,7 +10,7 @@
 use heatherrun_ports::http_server::{self, Limits, Phase, Received};
 use heatherrun_ports::target::name_failure;
 use heatherrun_ports::wire;
-use http::StatusCode;
+use http::{HeaderName, StatusCode};
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
 
@@ -39,17 +39,17 @@
     .await;
 }
 
-fn header<'a>(received: &'a Received, name: &str) -> &'a str {
+fn header<'a>(received: &'a Received, name: &HeaderName) -> &'a str {
     let value = received.head.headers.get(name);
     value.and_then(|v| v.to_str().ok()).unwrap_or_default()
 }
 
-fn number(received: &Received, name: &str) -> u64 {
+fn number(received: &Received, name: &HeaderName) -> u64 {
     header(received, name).parse().unwrap_or(0)
 }
 
 async fn answer(searcher: &Searcher, running: &Running, received: Received) -> Reply {
-    let id = header(&received, wire::CALL).to_owned();
+    let id = header(&received, &wire::CALL).to_owned();
     if received.head.uri.path() == "/cancel" {
         let mut running = running.lock().unwrap_or_else(PoisonError::into_inner);
         running.remove(&id);
@@ -77,7 +77,7 @@
         Err(error) => refuse(error),
     };
     if let Ok(value) = id.parse() {
-        reply.headers_mut().insert(wire::CALL, value);
+        reply.headers_mut().insert(wire::CALL.clone(), value);
     }
     reply
 }
@@ -85,13 +85,13 @@
 fn refuse(error: CallError) -> Reply {
     let mut reply = respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     if let Ok(value) = name_failure(error.failure).parse() {
-        reply.headers_mut().insert(wire::NOT_RUN, value);
+        reply.headers_mut().insert(wire::NOT_RUN.clone(), value);
     }
     reply
 }
 
 fn parse(received: &Received) -> TargetCall {
-    let kind = match header(received, wire::KIND) {
+    let kind = match header(received, &wire::KIND) {
         "once" => CallKind::Once,
         "repeatable" => CallKind::Repeatable,
         _ => CallKind::Search,
@@ -100,12 +100,12 @@
         id: CallId::default(),
         target: TargetId(0),
         service: ServiceId(0),
-        shard: ShardIx(u16::try_from(number(received, wire::SHARD)).unwrap_or(0)),
+        shard: ShardIx(u16::try_from(number(received, &wire::SHARD)).unwrap_or(0)),
         kind,
-        snapshot: Snapshot(number(received, wire::SNAPSHOT)),
-        map: MapRev(number(received, wire::MAP)),
-        epoch: Epoch(number(received, wire::EPOCH)),
-        left: Duration::from_micros(number(received, wire::LEFT)),
+        snapshot: Snapshot(number(received, &wire::SNAPSHOT)),
+        map: MapRev(number(received, &wire::MAP)),
+        epoch: Epoch(number(received, &wire::EPOCH)),
+        left: Duration::from_micros(number(received, &wire::LEFT)),
         body: Arc::from(received.body.as_ref()),
     }
 }
