Planned stop on real sockets; nodes killed in mid-query

Cause: the daemon closed its port at once on a signal, ignored SIGTERM and cut callers who had kept its address. Change: Serving holds all servers of a node and stops in order: not offered, each connection told to close, port closed once no caller can hold the address, last requests finished. The daemon stops so on SIGTERM, SIGINT, a drain and the leaving list, with exit codes for the hard limit and a second signal. Tests on sockets: no request cut while kept and new connections send on; a node killed in mid-query loses, doubles and belies nothing against the count of calls that ran; once-only requests repeated through every node run once.

--- a/crates/bench/benches/wire/shapes.rs
+++ b/crates/bench/benches/wire/shapes.rs
@@ -7,7 +7,8 @@
 
 use heatherrun_fakes::searcher::Settings;
 use heatherrun_schema::v1;
-use heatherrun_standins::local::{LocalTier, NODE_THREAD};
+use heatherrun_standins::local::LocalTier;
+use heatherrun_standins::node::NODE_THREAD;
 
 use crate::load::{self, Load};
 use crate::{DOMAINS, tier, usage};
--- /dev/null
+++ b/crates/daemon/src/serve.rs
@@ -0,0 +1,61 @@
+//! Opens the listeners of a node and serves on them.
+
+use std::{net::SocketAddr, sync::Arc, time::SystemTime};
+
+use anyhow::Context as _;
+use heatherrun_kernel::message::NodeInfo;
+use heatherrun_kernel::{Clock, DomainId, NodeId};
+use heatherrun_ports::serving::{Listeners, Serving};
+use heatherrun_ports::{peer_client, platform, target};
+use heatherrun_schema::v1::NodeSettings;
+use heatherrun_tier::node::Node;
+use tokio::net::TcpListener;
+
+/// Starts the node that `settings` describe.
+///
+/// # Errors
+/// When an address is malformed or its port is not free.
+pub async fn start(settings: &NodeSettings) -> anyhow::Result<(Arc<Node>, Serving)> {
+    let info = info(settings)?;
+    let listeners = Listeners {
+        callers: bind(info.callers).await?,
+        peers: bind(info.peers).await?,
+        operators: bind(parse(&settings.operators, "operators")?).await?,
+    };
+    let node = Node::new(
+        info,
+        Clock::start(),
+        target::targets(),
+        peer_client::peers(),
+        platform::platform(parse(&settings.platform, "platform")?),
+        settings.address_secs,
+    );
+    let serving = Serving::start(Arc::clone(&node), listeners);
+    Ok((node, serving))
+}
+
+fn info(settings: &NodeSettings) -> anyhow::Result<NodeInfo> {
+    let started = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(0));
+    Ok(NodeInfo {
+        id: NodeId::of(&settings.name),
+        name: settings.name.clone(),
+        domain: DomainId::of(&settings.domain),
+        peers: parse(&settings.peers, "peers")?,
+        callers: parse(&settings.callers, "callers")?,
+        started,
+    })
+}
+
+fn parse(address: &str, key: &str) -> anyhow::Result<SocketAddr> {
+    address
+        .parse()
+        .with_context(|| format!("{key} is {address:?}; name an IP and a port"))
+}
+
+async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| {
+        format!("cannot listen on {address}; free the port or change the settings")
+    })
+}
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod peer;
 pub mod peer_client;
 pub mod platform;
+pub mod serving;
 pub mod target;
 pub mod wire;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! and [`local`], a whole tier in one process on loopback ports.
 
 pub mod local;
+pub mod node;
 pub mod platform;
 pub mod script;
 pub mod searcher;
--- a/crates/standins/src/local.rs
+++ b/crates/standins/src/local.rs
@@ -6,140 +6,22 @@
 
 use heatherrun_fakes::searcher::{Searcher, Settings};
 use heatherrun_fakes::store::Store;
-use heatherrun_kernel::message::NodeInfo;
 use heatherrun_kernel::port::{Vm, VmState};
-use heatherrun_kernel::{Clock, DomainId, NodeId, Revision, ShardIx};
+use heatherrun_kernel::{Revision, ShardIx};
 use heatherrun_ports::http_server::Phase;
-use heatherrun_ports::{caller, operator, peer, peer_client, platform, target};
 use heatherrun_schema::v1;
-use heatherrun_tier::node::Node;
 use tokio::net::TcpListener;
-use tokio::runtime::Runtime;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::node::{LocalNode, NodeSpec};
+
 /// Any free loopback port.
 const ANY: &str = "127.0.0.1:0";
 
-/// Name of the threads on which nodes run.
-pub const NODE_THREAD: &str = "heatherrun-node";
-
 /// Seconds that callers may keep an address answer.
 const KEEP_SECS: u32 = 5;
 
-/// One node on threads of its own.
-pub struct LocalNode {
-    /// Node.
-    pub node: Arc<Node>,
-    /// Failure domain.
-    pub domain: String,
-    /// Address for callers.
-    pub callers: SocketAddr,
-    /// Address for operators.
-    pub operators: SocketAddr,
-    /// Moves the server for callers on; see [`Phase`].
-    pub phase: watch::Sender<Phase>,
-    /// Ends when the server for callers has finished its last request.
-    pub served: Option<JoinHandle<()>>,
-    runtime: Option<Runtime>,
-}
-
-impl LocalNode {
-    /// Starts a node called `name` in `domain` on `threads` threads.
-    async fn start(
-        name: &str,
-        domain: &str,
-        platform: SocketAddr,
-        started: u64,
-        threads: usize,
-    ) -> anyhow::Result<Self> {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(threads)
-            .thread_name(NODE_THREAD)
-            .enable_all()
-            .build()?;
-        let (name, domain) = (name.to_owned(), domain.to_owned());
-        let making = runtime.spawn(async move { open(&name, &domain, platform, started).await });
-        let mut made = making.await??;
-        made.runtime = Some(runtime);
-        Ok(made)
-    }
-
-    /// Ends the node at once, as a crash would: every task is dropped and
-    /// every socket closed.
-    pub fn kill(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
-        }
-    }
-
-    /// Runs `work` on the node's own threads.
-    ///
-    /// # Errors
-    /// When the node was killed.
-    pub async fn run<T: Send + 'static>(
-        &self,
-        work: impl Future<Output = T> + Send + 'static,
-    ) -> anyhow::Result<T> {
-        let runtime = self.runtime.as_ref();
-        let runtime = runtime.ok_or_else(|| anyhow::anyhow!("the node was killed"))?;
-        Ok(runtime.spawn(work).await?)
-    }
-}
-
-impl Drop for LocalNode {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-/// Opens the listeners of a node and serves on them.
-async fn open(
-    name: &str,
-    domain: &str,
-    platform: SocketAddr,
-    started: u64,
-) -> anyhow::Result<LocalNode> {
-    let callers = TcpListener::bind(ANY).await?;
-    let peers = TcpListener::bind(ANY).await?;
-    let operators = TcpListener::bind(ANY).await?;
-    let operator_address = operators.local_addr()?;
-    let info = NodeInfo {
-        id: NodeId::of(name),
-        name: name.to_owned(),
-        domain: DomainId::of(domain),
-        peers: peers.local_addr()?,
-        callers: callers.local_addr()?,
-        started,
-    };
-    let caller_address = info.callers;
-    let node = Node::new(
-        info,
-        Clock::start(),
-        target::targets(),
-        peer_client::peers(),
-        platform::platform(platform),
-        KEEP_SECS,
-    );
-    let (phase, phases) = watch::channel(Phase::Serve);
-    tokio::spawn(peer::serve(peers, Arc::clone(&node)));
-    let operating = operator::serve(operators, Arc::clone(&node), phases.clone());
-    tokio::spawn(operating);
-    let serving = caller::serve(callers, Arc::clone(&node), phases);
-    let served = tokio::spawn(serving);
-    let following = Arc::clone(&node);
-    tokio::spawn(async move { following.follow().await });
-    Ok(LocalNode {
-        node,
-        domain: domain.to_owned(),
-        callers: caller_address,
-        operators: operator_address,
-        phase,
-        served: Some(served),
-        runtime: None,
-    })
-}
-
 /// One searcher with its listener.
 pub struct LocalSearcher {
     /// Searcher.
@@ -193,6 +75,8 @@
     pub nodes: Vec<LocalNode>,
     /// Threads of each node that is started from now on.
     pub threads: usize,
+    /// Seconds that callers may keep an address answer of such a node.
+    pub keep_secs: u32,
     _stop: watch::Sender<Phase>,
 }
 
@@ -213,6 +97,7 @@
             searchers: Vec::new(),
             nodes: Vec::new(),
             threads: 1,
+            keep_secs: KEEP_SECS,
             _stop: stop,
         })
     }
@@ -325,8 +210,15 @@
     /// When no port is free.
     pub async fn add_node(&mut self, name: &str, domain: &str) -> anyhow::Result<()> {
         let started = self.nodes.len() as u64 + 1;
-        let made = LocalNode::start(name, domain, self.platform, started, self.threads).await?;
-        self.nodes.push(made);
+        let spec = NodeSpec {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            platform: self.platform,
+            started,
+            threads: self.threads,
+            keep_secs: self.keep_secs,
+        };
+        self.nodes.push(LocalNode::start(spec).await?);
         self.list_vms();
         Ok(())
     }
@@ -335,7 +227,7 @@
     pub fn list_vms(&self) {
         let mut vms = Vec::new();
         for local in &self.nodes {
-            if local.runtime.is_none() {
+            if !local.is_running() {
                 continue;
             }
             let info = &local.node.info;
@@ -350,12 +242,18 @@
         self.store.set_vms(vms);
     }
 
-    /// Makes each node take the newest state of the platform now.
+    /// Waits until each node has a configuration and an owner for each target.
     pub async fn settle(&self) {
+        self.settle_at(0).await;
+    }
+
+    /// Waits until each node has `revision` in force and an owner for each
+    /// target.
+    pub async fn settle_at(&self, revision: u64) {
         for local in &self.nodes {
             let node = Arc::clone(&local.node);
             let _ = local
-                .run(async move { node.refresh(Revision(0)).await })
+                .run(async move { node.refresh(Revision(revision)).await })
                 .await;
         }
     }
