Settings checked whole, each fault with file, line, key and remedy

Cause: a settings file was read by serde alone, which stops at the first fault and names no line. Change: the text is walked by the schema's fields and the values are checked together; the example files carry the sizes of both users. The round-trip property found that a service without objectives was written as null and not read back; absent parts are now left out.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -51,7 +51,7 @@
             let text = fs::read_to_string(&apply.file)
                 .with_context(|| format!("cannot read {file}; name a readable file"))?;
             let request = v1::ApplyRequest {
-                config: Some(heatherrun_settings::read(&file, &text)?),
+                config: Some(heatherrun_settings::read_tier(&file, &text)?.value),
                 ..v1::ApplyRequest::default()
             };
             let answer = client.apply(&request)?;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -11,6 +11,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// Exit code when the settings hold a fault.
+const BAD_SETTINGS: i32 = 2;
+
 /// The query tier's daemon.
 #[derive(argh::FromArgs)]
 struct Arguments {
@@ -25,7 +28,13 @@
     let file = arguments.settings.display().to_string();
     let text = fs::read_to_string(&arguments.settings)
         .with_context(|| format!("cannot read {file}; name a readable settings file"))?;
-    run(heatherrun_settings::read(&file, &text)?).await
+    match heatherrun_settings::read_node(&file, &text) {
+        Ok(checked) => run(checked.value).await,
+        Err(e) => {
+            eprintln!("{e}");
+            std::process::exit(BAD_SETTINGS);
+        }
+    }
 }
 
 async fn run(settings: NodeSettings) -> anyhow::Result<()> {
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -40,7 +40,9 @@
     sharded: Option<v1::Sharded>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pooled: Option<v1::Pooled>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     limits: Option<v1::Limits>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     objectives: Option<v1::Objectives>,
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,28 +1,118 @@
 //! Reading and checking of settings in JSON with comments.
+//!
+//! A file is checked whole: every fault is listed with file, line, key and
+//! remedy, and nothing is used of a file that has one. [`shape`] goes through
+//! the text by the schema's fields, [`node`] and [`tier`] check what values
+//! mean together, [`fault`] is what they report.
 
+mod fault;
+mod lines;
+mod nearest;
+mod node;
+mod searcher;
+mod shape;
+mod tier;
+
+pub use fault::{Fault, SettingsError, Severity};
+
+use heatherrun_schema::v1::{NodeSettings, TierConfig};
 use serde::de::DeserializeOwned;
 
-/// Failure to read a settings file.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{file}: {detail}; correct the file and run `heatherrun check` on it")]
-pub struct SettingsError {
-    /// File.
-    pub file: String,
-    /// What is wrong.
-    pub detail: String,
+use crate::shape::Shaped;
+
+/// Settings that hold no fault.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Checked<T> {
+    /// Settings.
+    pub value: T,
+    /// What is allowed but looks wrong.
+    pub warnings: Vec<Fault>,
 }
 
-/// Reads `text`, the content of `file`, as JSON with comments.
+/// Kind of a settings file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FileKind {
+    /// Settings of one daemon.
+    Node,
+    /// Configuration of the tier.
+    Tier,
+}
+
+impl FileKind {
+    /// Name of the schema's message.
+    #[must_use]
+    pub const fn message(self) -> &'static str {
+        match self {
+            Self::Node => "NodeSettings",
+            Self::Tier => "TierConfig",
+        }
+    }
+}
+
+/// Settings of either kind.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Settings {
+    /// Settings of one daemon.
+    Node(NodeSettings),
+    /// Configuration of the tier.
+    Tier(TierConfig),
+}
+
+/// Reads the settings of a daemon from `text`, the content of `file`.
 ///
 /// # Errors
-/// [`SettingsError`] when the text is malformed or holds an unknown key.
-pub fn read<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, SettingsError> {
-    let fault = |detail: String| SettingsError {
-        file: file.to_owned(),
-        detail,
+/// [`SettingsError`] with every fault of the file.
+pub fn read_node(file: &str, text: &str) -> Result<Checked<NodeSettings>, SettingsError> {
+    let shaped = shape::read(file, text, FileKind::Node)?;
+    finish(shaped, node::check)
+}
+
+/// Reads the configuration of a tier from `text`, the content of `file`.
+///
+/// # Errors
+/// [`SettingsError`] with every fault of the file.
+pub fn read_tier(file: &str, text: &str) -> Result<Checked<TierConfig>, SettingsError> {
+    let shaped = shape::read(file, text, FileKind::Tier)?;
+    finish(shaped, tier::check)
+}
+
+/// Checks a file of either kind, told apart by its keys.
+///
+/// # Errors
+/// [`SettingsError`] with every fault of the file.
+pub fn check(file: &str, text: &str) -> Result<Checked<Settings>, SettingsError> {
+    match shape::kind(text) {
+        FileKind::Node => read_node(file, text).map(|c| c.map(Settings::Node)),
+        FileKind::Tier => read_tier(file, text).map(|c| c.map(Settings::Tier)),
+    }
+}
+
+impl<T> Checked<T> {
+    fn map<U>(self, wrap: impl FnOnce(T) -> U) -> Checked<U> {
+        Checked {
+            value: wrap(self.value),
+            warnings: self.warnings,
+        }
+    }
+}
+
+fn finish<T: DeserializeOwned>(
+    mut shaped: Shaped,
+    check: impl FnOnce(&T, &mut Shaped),
+) -> Result<Checked<T>, SettingsError> {
+    let tree = std::mem::take(&mut shaped.tree);
+    let value = match serde_json::from_value(tree) {
+        Ok(value) => value,
+        Err(e) => {
+            shaped.fault("", &e.to_string(), "write the values that the schema names");
+            return Err(shaped.into_error());
+        }
     };
-    let options = jsonc_parser::ParseOptions::default();
-    let value: serde_json::Value =
-        jsonc_parser::parse_to_serde_value(text, &options).map_err(|e| fault(e.to_string()))?;
-    serde_json::from_value(value).map_err(|e| fault(e.to_string()))
+    check(&value, &mut shaped);
+    let (faults, warnings) = shaped.split();
+    if faults.is_empty() {
+        Ok(Checked { value, warnings })
+    } else {
+        Err(SettingsError { faults, warnings })
+    }
 }
--- /dev/null
+++ b/crates/settings/tests/examples.rs
@@ -0,0 +1,72 @@
+//! The example files are free of faults and warnings, and of the sizes named.
+
+use std::{fs, path::Path};
+
+use heatherrun_schema::v1::{self, service::Kind};
+use heatherrun_settings::{Settings, check};
+
+fn read(name: &str) -> Settings {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let text = fs::read_to_string(path.join(name)).unwrap();
+    let checked = check(name, &text).unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!(checked.warnings, []);
+    checked.value
+}
+
+/// Name, number of shards or searchers, and slots of each service.
+fn sizes(service: &v1::Service) -> (&str, usize, u32) {
+    let (size, first) = match service.kind.as_ref().unwrap() {
+        Kind::Sharded(s) => (s.shards.len(), &s.shards[0].replicas[0]),
+        Kind::Pooled(p) => (p.searchers.len(), &p.searchers[0]),
+    };
+    (&service.name, size, first.slots)
+}
+
+fn assert_tier(name: &str, expected: [(&str, usize, u32); 4]) {
+    let Settings::Tier(config) = read(name) else {
+        panic!("{name} is no configuration of a tier");
+    };
+    let found: Vec<_> = config.services.iter().map(sizes).collect();
+    assert_eq!(found, expected);
+    for service in &config.services {
+        let Some(Kind::Sharded(sharded)) = &service.kind else {
+            continue;
+        };
+        for shard in &sharded.shards {
+            let domains: Vec<_> = shard.replicas.iter().map(|r| r.domain.as_str()).collect();
+            let declared: Vec<_> = config.domains.iter().map(|d| d.name.as_str()).collect();
+            assert_eq!(domains, declared);
+        }
+    }
+}
+
+#[test]
+fn check_kernwerk_example() {
+    assert_tier(
+        "kernwerk.jsonc",
+        [
+            ("buyer-desk", 10, 3),
+            ("grower-portal", 15, 3),
+            ("lot-viewer", 10, 6),
+            ("broker-feed", 4, 6),
+        ],
+    );
+}
+
+#[test]
+fn check_cooperative_example() {
+    assert_tier(
+        "cooperative.jsonc",
+        [
+            ("lotes", 10, 2),
+            ("balanca", 15, 2),
+            ("recibos", 5, 6),
+            ("compradores", 3, 6),
+        ],
+    );
+}
+
+#[test]
+fn check_node_example() {
+    assert!(matches!(read("node.jsonc"), Settings::Node(_)));
+}
