Service-level burn counted without locks, merged, judged, drawn

Counts by minute since the node's start, burn rates over seven windows, four two-window alerts, causes by target and failure domain, reports as table, JSON and a self-contained page that register as plug-ins with the function that runs them.

--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -1,1 +1,22 @@
 //! Service-level burn, tables and plots.
+//!
+//! On a node, [`recorder`] counts what each request came to, [`history`]
+//! keeps the counts by minute, and [`window`] turns them into burn rates. For
+//! an operator, [`merge`] adds the answers of several nodes, [`alert`] judges
+//! them, and [`text`] and [`page`] print them; both register as plug-ins.
+
+pub mod alert;
+pub mod history;
+pub mod merge;
+pub mod objective;
+pub mod page;
+mod plot;
+pub mod recorder;
+pub mod table;
+pub mod text;
+pub mod units;
+pub mod window;
+
+pub use objective::Objective;
+pub use recorder::{Blame, Event, Recorder};
+pub use table::Table;
--- /dev/null
+++ b/crates/report/src/page.rs
@@ -0,0 +1,125 @@
+//! Service-level burn as one self-contained page: styles and plots stand in
+//! the page itself, and nothing is loaded from elsewhere.
+
+use std::fmt::Write as _;
+
+use heatherrun_kernel::registry::{Make, Plugin, inventory};
+use heatherrun_schema::v1;
+
+use crate::alert::{Urgency, alerts};
+use crate::objective::Objective;
+use crate::{plot, text, units};
+
+inventory::submit! {
+    Plugin {
+        name: "html",
+        about: "service-level burn as one self-contained page with plots",
+        make: Make::Report(page),
+    }
+}
+
+const STYLE: &str = "
+body { margin: 0; background: #f3f5f8; color: #262d38; font: 15px/1.45 sans-serif; }
+main { max-width: 1200px; margin: 0 auto; padding: 24px; }
+h1 { font-size: 24px; margin: 0 0 4px; }
+h2 { font-size: 20px; margin: 0; display: inline-block; }
+h3 { font-size: 14px; margin: 0 0 6px; color: #4a5463; font-weight: 600; }
+p { margin: 4px 0; color: #4a5463; }
+section { background: #fff; border: 1px solid #dfe3e9; border-radius: 8px; padding: 18px 20px; margin-top: 20px; }
+.plots { display: grid; grid-template-columns: repeat(auto-fit, minmax(480px, 1fr)); gap: 20px; margin-top: 14px; }
+.plots svg { width: 100%; height: auto; display: block; }
+.badge { display: inline-block; margin-left: 10px; padding: 2px 10px; border-radius: 10px; color: #fff; font-size: 13px; }
+.ok { background: #10705d; } .ticket { background: #8a5a00; } .page { background: #ba2026; }
+.alert { margin: 8px 0 0; padding: 6px 12px; border-left: 4px solid #ba2026; background: #fdf1f1; color: #262d38; }
+.key { display: inline-block; margin-right: 18px; }
+.key i { display: inline-block; width: 12px; height: 12px; border-radius: 3px; margin-right: 6px; }
+";
+
+/// Burn as one page.
+#[must_use]
+pub fn page(burn: &v1::BurnAnswer) -> String {
+    let mut out = String::from("<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">");
+    out += "<title>Service-level burn</title><style>";
+    out += STYLE;
+    out += "</style></head><body><main>\n<h1>Service-level burn</h1>\n";
+    let _ = writeln!(out, "<p>{}</p>", escape(&text::coverage(&burn.nodes)));
+    write_key(&mut out);
+    for service in &burn.services {
+        write_service(service, &mut out);
+    }
+    if burn.services.is_empty() {
+        out += "<section><p>no service</p></section>\n";
+    }
+    out += "</main></body></html>\n";
+    out
+}
+
+fn write_key(out: &mut String) {
+    out.push_str("<p>");
+    for objective in Objective::ALL {
+        let (name, colour) = (objective.name(), plot::colour_code(objective.name()));
+        let _ = write!(
+            out,
+            "<span class=\"key\"><i style=\"background:{colour}\"></i>{name}</span>"
+        );
+    }
+    out.push_str("</p>\n");
+}
+
+fn write_service(service: &v1::ServiceBurn, out: &mut String) {
+    let fired = alerts(service);
+    let urgent = fired.iter().map(|a| a.rule.urgency).min();
+    let (class, label) = match urgent {
+        Some(Urgency::Page) => ("page", "burning fast"),
+        Some(Urgency::Ticket) => ("ticket", "burning"),
+        None => ("ok", "within budget"),
+    };
+    let name = escape(&service.service);
+    let _ = writeln!(
+        out,
+        "<section><h2>{name}</h2><span class=\"badge {class}\">{label}</span>"
+    );
+    for alert in &fired {
+        let sentence = escape(&text::sentence(alert));
+        let _ = writeln!(out, "<p class=\"alert\">{sentence}</p>");
+    }
+    out.push_str("<div class=\"plots\">\n");
+    let over = units::secs(crate::window::BUDGET_SECS);
+    let plots = [
+        (
+            format!("Error budget left over {over}"),
+            plot::budgets(service),
+        ),
+        (format!("What burned it over {over}"), plot::causes(service)),
+        (
+            "Burn rate by window; red lines alert, hollow points are covered in part".to_owned(),
+            plot::rates(service),
+        ),
+        (
+            "Burn rate over the last day; the grey line spends the budget exactly".to_owned(),
+            plot::over_time(service),
+        ),
+    ];
+    for (title, svg) in plots {
+        let _ = writeln!(out, "<div><h3>{title}</h3>{}</div>", scalable(&svg));
+    }
+    out.push_str("</div></section>\n");
+}
+
+/// Lets the style sheet set the size of a plot.
+fn scalable(svg: &str) -> String {
+    let Some(start) = svg.find("<svg ") else {
+        return svg.to_owned();
+    };
+    let body = &svg[start..];
+    match body.find(" viewBox") {
+        Some(at) => format!("<svg{}", &body[at..]),
+        None => body.to_owned(),
+    }
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+}
