--- a/crates/report/examples/burn_page.rs
+++ b/crates/report/examples/burn_page.rs
@@ -69,6 +69,7 @@
             recorder.blame(now, service.id, missed);
         }
         if !whole && service.sharded {
+            let target = target.replace("ticino", "zurich");
             let missed = blame(Objective::Coverage, "zurich", &target, "connection-lost");
             recorder.blame(now, service.id, missed);
         }
--- a/crates/report/src/page.rs
+++ b/crates/report/src/page.rs
@@ -8,6 +8,7 @@
 
 use crate::alert::{Urgency, alerts};
 use crate::objective::Objective;
+use crate::window::BUDGET_SECS;
 use crate::{plot, text, units};
 
 inventory::submit! {
@@ -18,12 +19,15 @@
     }
 }
 
+const RATES: &str = "Burn rate by window; red lines alert, hollow points are covered in part";
+const OVER_TIME: &str = "Burn rate over the last day; the grey line spends the budget exactly";
+
 const STYLE: &str = "
 body { margin: 0; background: #f3f5f8; color: #262d38; font: 15px/1.45 sans-serif; }
 main { max-width: 1200px; margin: 0 auto; padding: 24px; }
 h1 { font-size: 24px; margin: 0 0 4px; }
 h2 { font-size: 20px; margin: 0; display: inline-block; }
-h3 { font-size: 14px; margin: 0 0 6px; color: #4a5463; font-weight: 600; }
+h3 { font-size: 14px; margin: 10px 0 6px; color: #4a5463; font-weight: 600; }
 p { margin: 4px 0; color: #4a5463; }
 section { background: #fff; border: 1px solid #dfe3e9; border-radius: 8px; padding: 18px 20px; margin-top: 20px; }
 .plots { display: grid; grid-template-columns: repeat(auto-fit, minmax(480px, 1fr)); gap: 20px; margin-top: 14px; }
@@ -72,6 +76,7 @@
     let (class, label) = match urgent {
         Some(Urgency::Page) => ("page", "burning fast"),
         Some(Urgency::Ticket) => ("ticket", "burning"),
+        None if overspent(service) => ("ticket", "budget spent"),
         None => ("ok", "within budget"),
     };
     let name = escape(&service.service);
@@ -83,29 +88,36 @@
         let sentence = escape(&text::sentence(alert));
         let _ = writeln!(out, "<p class=\"alert\">{sentence}</p>");
     }
-    out.push_str("<div class=\"plots\">\n");
-    let over = units::secs(crate::window::BUDGET_SECS);
-    let plots = [
-        (
-            format!("Error budget left over {over}"),
-            plot::budgets(service),
-        ),
-        (format!("What burned it over {over}"), plot::causes(service)),
-        (
-            "Burn rate by window; red lines alert, hollow points are covered in part".to_owned(),
-            plot::rates(service),
-        ),
-        (
-            "Burn rate over the last day; the grey line spends the budget exactly".to_owned(),
-            plot::over_time(service),
-        ),
+    let over = units::secs(BUDGET_SECS);
+    let columns = [
+        [
+            (
+                format!("Error budget left over {over}"),
+                plot::budgets(service),
+            ),
+            (RATES.to_owned(), plot::rates(service)),
+        ],
+        [
+            (format!("What burned it over {over}"), plot::causes(service)),
+            (OVER_TIME.to_owned(), plot::over_time(service)),
+        ],
     ];
-    for (title, svg) in plots {
-        let _ = writeln!(out, "<div><h3>{title}</h3>{}</div>", scalable(&svg));
+    out.push_str("<div class=\"plots\">\n");
+    for column in columns {
+        out.push_str("<div>\n");
+        for (title, svg) in column {
+            let _ = writeln!(out, "<h3>{title}</h3>{}", scalable(&svg));
+        }
+        out.push_str("</div>\n");
     }
     out.push_str("</div></section>\n");
 }
 
+fn overspent(service: &v1::ServiceBurn) -> bool {
+    let spent = |w: &v1::BurnWindow| w.window_secs == BUDGET_SECS && w.budget_left < 0.0;
+    service.windows.iter().any(spent)
+}
+
 /// Lets the style sheet set the size of a plot.
 fn scalable(svg: &str) -> String {
     let Some(start) = svg.find("<svg ") else {
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -97,7 +97,7 @@
     let left = if window.total == 0 {
         "no event".to_owned()
     } else if window.budget_left < 0.0 {
-        format!("overspent {:.1} times", window.burn_rate)
+        format!("overspent: {:.0}% used", window.burn_rate * 100.0)
     } else {
         format!("{} left", units::share(window.budget_left))
     };
@@ -155,7 +155,7 @@
         .y_labels(6)
         .x_label_formatter(&name)
         .y_label_formatter(&|y| units::rate(*y))
-        .x_desc("window")
+        .x_desc("window; no burn is drawn at the bottom")
         .y_desc("burn rate")
         .label_style((FONT, 13).into_font().color(&INK))
         .axis_desc_style((FONT, 13).into_font().color(&MUTED))
--- /dev/null
+++ b/crates/tier/src/burn.rs
@@ -0,0 +1,39 @@
+//! Service-level burn as one node counted it.
+
+use heatherrun_schema::{CallError, v1};
+
+use crate::node::Node;
+
+impl Node {
+    /// Burn of the services asked about, by name.
+    ///
+    /// # Errors
+    /// [`CallError::Refused`] when no service has the name asked about.
+    pub fn burn_answer(&self, request: &v1::BurnRequest) -> Result<v1::BurnAnswer, CallError> {
+        let now = self.clock.now();
+        let view = self.view.load();
+        let mut answer = v1::BurnAnswer {
+            nodes: vec![v1::BurnNode {
+                name: self.info.name.clone(),
+                covered_secs: now.0 / 1_000_000,
+            }],
+            ..v1::BurnAnswer::default()
+        };
+        for service in view.services.values() {
+            if !request.service.is_empty() && request.service != service.name {
+                continue;
+            }
+            let recorder = self.entry.outcomes().recorder();
+            answer.services.push(recorder.burn(now, service));
+        }
+        if answer.services.is_empty() && !request.service.is_empty() {
+            let reason = format!(
+                "no service named {:?}; see `heatherrun services`",
+                request.service
+            );
+            return Err(CallError::Refused(reason));
+        }
+        answer.services.sort_by(|a, b| a.service.cmp(&b.service));
+        Ok(answer)
+    }
+}
--- a/crates/tier/src/entry.rs
+++ b/crates/tier/src/entry.rs
@@ -30,6 +30,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::once::Once;
+use crate::outcome::{Ended, Outcomes};
 use crate::owner::Owner;
 use crate::refuse;
 use crate::suspects;
@@ -83,6 +84,7 @@
     budgets: Mutex<HashMap<ServiceId, Arc<Budget>>>,
     admission: Admission,
     traces: Traces,
+    outcomes: Outcomes,
     once: Once,
     run: u64,
     seq: AtomicU64,
@@ -114,6 +116,7 @@
             budgets: Mutex::default(),
             admission: Admission::new(PLACES),
             traces: Traces::default(),
+            outcomes: Outcomes::default(),
             run: me.0 ^ run,
             seq: AtomicU64::new(1),
         })
@@ -131,6 +134,12 @@
         &self.traces
     }
 
+    /// What requests came to.
+    #[must_use]
+    pub const fn outcomes(&self) -> &Outcomes {
+        &self.outcomes
+    }
+
     /// Requests in work and load in per cent.
     #[must_use]
     pub fn load(&self) -> (u32, u8) {
@@ -239,6 +248,8 @@
         mut request: Request,
     ) -> Result<(String, heatherrun_policy::query::Merged, u16), Box<v1::Refusal>> {
         if !self.admission.enter(request.class) {
+            let now = self.clock.now();
+            self.outcomes.shed(now, &request.service, &request.trace);
             let detail = "this node is at its limit for the class";
             let mut refused = refuse::not_run("overloaded", detail, "come again after retry_ms");
             refused.retry_ms = 100;
@@ -297,7 +308,17 @@
         };
         let verdict = drive.run().await;
         let attempts = drive.query.attempts();
-        self.traces.keep(drive.explain(start));
+        let trace = drive.explain(start);
+        let now = self.clock.now();
+        self.outcomes.ended(&Ended {
+            now,
+            took: now.since(start),
+            service: &drive.request.service,
+            view: &self.view.load(),
+            verdict: &verdict,
+            trace: &trace,
+        });
+        self.traces.keep(trace);
         (verdict, attempts)
     }
 
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -8,10 +8,12 @@
 //! once-only requests, [`suspects`] the marks of crash-causing ones.
 
 pub mod addresses;
+pub mod burn;
 pub mod entry;
 pub mod node;
 pub mod once;
 pub mod operate;
+pub mod outcome;
 pub mod owner;
 pub mod refuse;
 pub mod suspects;
--- a/crates/tier/src/operate.rs
+++ b/crates/tier/src/operate.rs
@@ -113,8 +113,8 @@
         Err(refused("history is not served by this version"))
     }
 
-    async fn burn(&self, _: v1::BurnRequest) -> Result<v1::BurnAnswer, CallError> {
-        Err(refused("burn is not served by this version"))
+    async fn burn(&self, request: v1::BurnRequest) -> Result<v1::BurnAnswer, CallError> {
+        self.burn_answer(&request)
     }
 
     async fn marks(&self, _: v1::MarksRequest) -> Result<v1::MarksAnswer, CallError> {
