Operators' client: every call of the schema as a command

Commands return what to print and an exit code; nodes are tried in turn, and a write that may have been seen is not repeated at another node but told as unknown. Burn is added over all nodes named.

--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,288 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use crate::reply::{Exit, Reply};
+
+/// Operator address called when none is named.
+const NODE: &str = "127.0.0.1:7003";
+
+/// Options of every command, which may also stand after it.
+const SHARED: [&str; 2] = ["--node", "--json"];
+
+/// Operate a heatherrun tier.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(
+    example = "heatherrun --node 10.0.0.1:7003 --node 10.0.1.1:7003 status",
+    note = "--node and --json may also stand after the command.",
+    error_code(0, "done"),
+    error_code(1, "the tier refused the call"),
+    error_code(2, "the command line or a file holds a fault; nothing was changed"),
+    error_code(3, "no node was reached"),
+    error_code(4, "accepted, but not in force on every node within --wait"),
+    error_code(5, "the answer is lost; the call may have taken effect")
+)]
+pub struct Arguments {
+    /// operator address of a node, as IP:port; several are tried in turn
+    #[argh(option)]
+    pub node: Vec<String>,
+    /// print JSON for programs
+    #[argh(switch)]
+    pub json: bool,
+    /// command
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// The commands.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand)]
+#[allow(missing_docs)]
+pub enum Command {
+    Check(Check),
+    Apply(Apply),
+    Status(Status),
+    Services(Services),
+    Shards(Shards),
+    Limits(Limits),
+    Nodes(Nodes),
+    Targets(Targets),
+    History(History),
+    Diff(Diff),
+    Domain(Domain),
+    Drain(Drain),
+    Explain(Explain),
+    Burn(Burn),
+    Marks(Marks),
+    Plugins(Plugins),
+}
+
+/// Check a settings file of a node or a tier; list every fault with file, line, key and remedy.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "check",
+    example = "heatherrun check examples/kernwerk.jsonc"
+)]
+pub struct Check {
+    /// settings file, in JSON with comments
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Write the configuration of the tier.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "apply",
+    example = "heatherrun apply tier.jsonc --base 12 --dry-run\nheatherrun apply tier.jsonc --base 12 --wait 19"
+)]
+pub struct Apply {
+    /// configuration file, in JSON with comments
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// revision that the file is based on, as `heatherrun status` shows it; 0 for the first one
+    #[argh(option, default = "0")]
+    pub base: u64,
+    /// show what would change and write nothing
+    #[argh(switch)]
+    pub dry_run: bool,
+    /// seconds to wait until the revision is in force on every node
+    #[argh(option, default = "0")]
+    pub wait: u64,
+}
+
+/// Show the state of the tier as one node sees it.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "status", example = "heatherrun status")]
+pub struct Status {}
+
+/// Show the services.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "services", example = "heatherrun services")]
+pub struct Services {}
+
+/// Show the shards of sharded services with their replicas.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "shards", example = "heatherrun shards buyer-desk")]
+pub struct Shards {
+    /// service; all of them when left out
+    #[argh(positional)]
+    pub service: Option<String>,
+}
+
+/// Show the limits and objectives of services.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "limits", example = "heatherrun limits")]
+pub struct Limits {}
+
+/// Show the nodes.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "nodes", example = "heatherrun nodes")]
+pub struct Nodes {}
+
+/// Show the targets with their owners and load.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "targets",
+    example = "heatherrun targets buyer-desk"
+)]
+pub struct Targets {
+    /// service; all of them when left out
+    #[argh(positional)]
+    pub service: Option<String>,
+}
+
+/// Show the accepted changes of the configuration.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "history", example = "heatherrun history")]
+pub struct History {}
+
+/// Show what changed since a revision.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "diff", example = "heatherrun diff 12")]
+pub struct Diff {
+    /// revision to compare with the newest one
+    #[argh(positional)]
+    pub from: u64,
+}
+
+/// Take a failure domain out or bring it back.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "domain",
+    example = "heatherrun domain out ticino --dry-run\nheatherrun domain in ticino --wait 19"
+)]
+pub struct Domain {
+    /// where it goes: "out" or "in"
+    #[argh(positional, from_str_fn(direction))]
+    pub direction: Direction,
+    /// failure domain
+    #[argh(positional)]
+    pub name: String,
+    /// show the capacity that would be left and write nothing
+    #[argh(switch)]
+    pub dry_run: bool,
+    /// seconds to wait until the change is in force on every node
+    #[argh(option, default = "0")]
+    pub wait: u64,
+}
+
+/// Where a failure domain goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// It gets no new work.
+    Out,
+    /// It comes back.
+    In,
+}
+
+fn direction(word: &str) -> Result<Direction, String> {
+    match word {
+        "out" => Ok(Direction::Out),
+        "in" => Ok(Direction::In),
+        other => Err(format!("{other:?} is neither \"out\" nor \"in\"")),
+    }
+}
+
+/// Start the graceful shutdown of one node.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "drain", example = "heatherrun drain entry-3")]
+pub struct Drain {
+    /// node, as `heatherrun nodes` names it
+    #[argh(positional)]
+    pub name: String,
+}
+
+/// Show how one recent query went: its attempts with owners, targets and times.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "explain",
+    example = "heatherrun explain 5f3a90c2-17"
+)]
+pub struct Explain {
+    /// id of the query, as its answer names it
+    #[argh(positional)]
+    pub id: String,
+}
+
+/// Show service-level burn, added over all nodes that can be reached.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "burn",
+    example = "heatherrun --node 10.0.0.1:7003 --node 10.0.1.1:7003 burn --html burn.html"
+)]
+pub struct Burn {
+    /// service; all of them when left out
+    #[argh(positional)]
+    pub service: Option<String>,
+    /// write one self-contained page with plots to this file
+    #[argh(option)]
+    pub html: Option<PathBuf>,
+}
+
+/// Show the requests suspected of crashing targets, or clear one.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "marks",
+    example = "heatherrun marks\nheatherrun marks --clear 9f1c04d2aa37e610"
+)]
+pub struct Marks {
+    /// fingerprint to clear
+    #[argh(option)]
+    pub clear: Option<String>,
+}
+
+/// Show the plug-ins linked into this program.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "plugins", example = "heatherrun plugins")]
+pub struct Plugins {}
+
+/// Reads the words after the program's name.
+///
+/// # Errors
+/// The reply to print when the words ask for help or hold a fault.
+pub fn parse(words: &[String]) -> Result<Arguments, Reply> {
+    let words = shared_first(words);
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let mut arguments = match Arguments::from_args(&["heatherrun"], &words) {
+        Ok(arguments) => arguments,
+        Err(early) if early.status.is_ok() => return Err(Reply::done(early.output + "\n")),
+        Err(early) => {
+            let notes = format!(
+                "{}\nRun heatherrun --help for the commands.\n",
+                early.output.trim_end()
+            );
+            return Err(Reply::failed(Exit::BadInput, notes));
+        }
+    };
+    if arguments.node.is_empty() {
+        arguments.node.push(NODE.to_owned());
+    }
+    Ok(arguments)
+}
+
+/// Moves the shared options before the command.
+fn shared_first(words: &[String]) -> Vec<String> {
+    let (mut first, mut rest) = (Vec::new(), Vec::new());
+    let mut words = words.iter();
+    while let Some(word) = words.next() {
+        if !SHARED.contains(&word.as_str()) {
+            rest.push(word.clone());
+            continue;
+        }
+        first.push(word.clone());
+        if word == "--node" {
+            first.extend(words.next().cloned());
+        }
+    }
+    first.append(&mut rest);
+    first
+}
--- a/crates/report/src/units.rs
+++ b/crates/report/src/units.rs
@@ -54,3 +54,35 @@
         format!("{rate:.2}")
     }
 }
+
+/// Unix milliseconds as date and time in UTC.
+#[must_use]
+pub fn utc(unix_ms: u64) -> String {
+    let secs = unix_ms / 1_000;
+    let (days, time) = (secs / 86_400, secs % 86_400);
+    let (year, month, day) = date(days);
+    format!(
+        "{year:04}-{month:02}-{day:02} {:02}:{:02}:{:02}Z",
+        time / 3_600,
+        time / 60 % 60,
+        time % 60
+    )
+}
+
+/// Date of a day counted from 1970-01-01, by eras of 400 years from 0000-03-01.
+const fn date(days: u64) -> (u64, u64, u64) {
+    const ERA_DAYS: u64 = 146_097;
+    let shifted = days + 719_468;
+    let (era, of_era) = (shifted / ERA_DAYS, shifted % ERA_DAYS);
+    let year = (of_era - of_era / 1_460 + of_era / 36_524 - of_era / 146_096) / 365;
+    let of_year = of_era - (365 * year + year / 4 - year / 100);
+    let from_march = (5 * of_year + 2) / 153;
+    let day = of_year - (153 * from_march + 2) / 5 + 1;
+    let month = if from_march < 10 {
+        from_march + 3
+    } else {
+        from_march - 9
+    };
+    let next = if month <= 2 { 1 } else { 0 };
+    (year + era * 400 + next, month, day)
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -23,8 +23,11 @@
     /// The message is not the JSON form of its type.
     #[error("malformed message: {0}; send the JSON form of the type in the schema")]
     Malformed(String),
-    /// The daemon could not be reached or cut the connection.
-    #[error("no answer from the daemon: {0}; check the operator address and that the daemon runs")]
+    /// No connection to the daemon; it did not see the call.
+    #[error("no daemon reached: {0}; check the operator address and that the daemon runs")]
+    Unreached(String),
+    /// The daemon may have seen the call, but its answer is lost.
+    #[error("the answer is lost: {0}; the call may have taken effect, see `heatherrun history`")]
     Transport(String),
     /// The daemon refused the call.
     #[error("{0}")]
