--- a/crates/tier/src/outcome.rs
+++ b/crates/tier/src/outcome.rs
@@ -17,7 +17,7 @@
 const STRAGGLER: &str = "straggler";
 
 /// Cause of a refusal at the node's own limit.
-const SHED: &str = "shed";
+pub(crate) const SHED: &str = "shed";
 
 /// Outcome of an attempt that brought a reply.
 const REPLIED: &str = "ok";
@@ -70,6 +70,21 @@
     pub trace: &'a v1::ExplainAnswer,
 }
 
+/// One request that was refused before it was planned.
+#[derive(Clone, Copy)]
+pub struct Early<'a> {
+    /// Present.
+    pub now: Time,
+    /// Service.
+    pub service: &'a Service,
+    /// Id of the request.
+    pub id: &'a str,
+    /// Why.
+    pub kind: &'a str,
+    /// Whether it may have run.
+    pub ran: Ran,
+}
+
 /// Tells what requests came to.
 #[derive(Default)]
 pub struct Outcomes {
@@ -95,16 +110,27 @@
         }
     }
 
-    /// A request that was refused at the node's own limit.
-    pub fn shed(&self, now: Time, service: &Service, id: &str) {
-        log::info!(id, service = service.name.as_str(), kind = SHED, ran = "not-run"; "request.refused");
+    /// A request that was refused before it was planned.
+    pub fn refused_early(&self, early: &Early<'_>) {
+        let Early {
+            now,
+            service,
+            id,
+            kind,
+            ran,
+        } = *early;
+        let ran_words = words(&format!("{ran:?}"));
+        log::info!(
+            id, service = service.name.as_str(), kind, ran = ran_words.as_str();
+            "request.refused"
+        );
         self.recorder.record(now, service, Event::Refused);
-        let blame = blame(Objective::Served, SHED);
+        let blame = blame(Objective::Served, kind);
         self.recorder.blame(now, service.id, blame);
         self.metric(Metric::Refused {
             service: &service.name,
-            kind: SHED,
-            ran: Ran::NotRun,
+            kind,
+            ran,
         });
     }
 
