--- /dev/null
+++ b/crates/daemon/src/logging.rs
@@ -0,0 +1,109 @@
+//! Logs by logforth: one line of key=value pairs for each event.
+//!
+//! The message of a record is the event's name. Its pairs follow the time,
+//! the level and the node's name; a value with spaces, quotes or an equals
+//! sign stands in quotes.
+
+use std::{fmt::Write as _, time::SystemTime};
+
+use anyhow::Context as _;
+use log::LevelFilter;
+use logforth::kv::{KeyView, ValueView, Visitor};
+use logforth::record::Record;
+use logforth::{Append, Diagnostic, Error, Layout};
+use logforth_bridge_log::LogBridge;
+
+/// Layout of one line.
+#[derive(Clone, Debug)]
+pub struct KeyValueLayout {
+    /// Name of the node.
+    pub node: String,
+}
+
+impl Layout for KeyValueLayout {
+    fn format(
+        &self,
+        record: &Record<'_>,
+        diagnostics: &[Box<dyn Diagnostic>],
+    ) -> Result<Vec<u8>, Error> {
+        let mut line = Line(String::with_capacity(128));
+        line.pair("event", &record.payload().to_string());
+        line.pair("time", &unix_time(record.time()));
+        let level = record.level().name().to_ascii_lowercase();
+        line.pair("level", &level);
+        line.pair("node", &self.node);
+        record.key_values().visit(&mut line)?;
+        for diagnostic in diagnostics {
+            diagnostic.visit(&mut line)?;
+        }
+        Ok(line.0.into_bytes())
+    }
+}
+
+/// Seconds since 1970 with milliseconds.
+fn unix_time(time: SystemTime) -> String {
+    let since = time.duration_since(SystemTime::UNIX_EPOCH);
+    let since = since.unwrap_or_default();
+    format!("{}.{:03}", since.as_secs(), since.subsec_millis())
+}
+
+/// One line being written.
+struct Line(String);
+
+impl Line {
+    fn pair(&mut self, key: &str, value: &str) {
+        if !self.0.is_empty() {
+            self.0.push(' ');
+        }
+        let needs_quotes = |c: char| c.is_whitespace() || c.is_control() || "\"=\\".contains(c);
+        let _ = if value.is_empty() || value.contains(needs_quotes) {
+            write!(self.0, "{key}={value:?}")
+        } else {
+            write!(self.0, "{key}={value}")
+        };
+    }
+}
+
+impl Visitor for Line {
+    fn visit(&mut self, key: KeyView<'_>, value: ValueView<'_>) -> Result<(), Error> {
+        self.pair(key.as_str(), &value.to_string());
+        Ok(())
+    }
+}
+
+/// Level that the settings name; `info` when they name none.
+///
+/// # Errors
+/// When there is no level of this name.
+pub fn level(name: &str) -> anyhow::Result<LevelFilter> {
+    if name.is_empty() {
+        return Ok(LevelFilter::Info);
+    }
+    name.parse()
+        .ok()
+        .context("no such level; use error, warn, info, debug or trace")
+}
+
+/// Log that writes to `append`.
+#[must_use]
+pub fn bridge(append: impl Append) -> LogBridge {
+    let logger = logforth::core::builder()
+        .dispatch(|dispatch| dispatch.append(append))
+        .build();
+    LogBridge::new(logger)
+}
+
+/// Logs the events of `node` at `name` and above to standard output from now
+/// on.
+///
+/// # Errors
+/// When there is no level of this name, or logs go elsewhere already.
+pub fn start(node: &str, name: &str) -> anyhow::Result<()> {
+    let layout = KeyValueLayout {
+        node: node.to_owned(),
+    };
+    let stdout = logforth::append::Stdout::default().with_layout(layout);
+    log::set_boxed_logger(Box::new(bridge(stdout))).context("logs go elsewhere already")?;
+    log::set_max_level(level(name)?);
+    Ok(())
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,6 +3,7 @@
 use std::{fs, net::SocketAddr, path::PathBuf, time::SystemTime};
 
 use anyhow::Context as _;
+use heatherrun_daemon::{logging, metrics};
 use heatherrun_kernel::message::NodeInfo;
 use heatherrun_kernel::{Clock, DomainId, NodeId};
 use heatherrun_ports::http_server::Phase;
@@ -39,6 +40,7 @@
 }
 
 async fn run(settings: NodeSettings) -> anyhow::Result<()> {
+    logging::start(&settings.name, &settings.log)?;
     let info = info(&settings)?;
     let (callers, peers) = (bind(info.callers).await?, bind(info.peers).await?);
     let operators = bind(settings.operators.parse().context("operators")?).await?;
@@ -52,6 +54,10 @@
         store,
         settings.address_secs,
     );
+    if !settings.metrics.is_empty() {
+        let address = settings.metrics.parse().context("metrics")?;
+        tokio::spawn(metrics::run(node.clone(), address));
+    }
     let (stop, stopped) = watch::channel(Phase::Serve);
     tokio::spawn(peer::serve(peers, node.clone()));
     let operator_task = operator::serve(operators, node.clone(), stopped.clone());
--- /dev/null
+++ b/crates/daemon/tests/logging.rs
@@ -0,0 +1,107 @@
+//! Log lines, compared with a text file.
+
+use std::sync::{Arc, Mutex};
+
+use heatherrun_daemon::logging::{KeyValueLayout, bridge, level};
+use log::kv::ToValue;
+use log::{Level, Log as _, Record};
+use logforth::{Append, Diagnostic, Error, Layout as _};
+
+const EXPECTED: &str = include_str!("expected/log.txt");
+
+/// Keeps lines.
+#[derive(Debug)]
+struct Lines {
+    layout: KeyValueLayout,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Append for Lines {
+    fn append(
+        &self,
+        record: &logforth::record::Record<'_>,
+        diagnostics: &[Box<dyn Diagnostic>],
+    ) -> Result<(), Error> {
+        let line = self.layout.format(record, diagnostics)?;
+        let line = String::from_utf8(line).unwrap();
+        self.lines.lock().unwrap().push(line);
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+/// Puts `T` in place of the time, after checking its form.
+fn without_time(line: &str) -> String {
+    let words: Vec<_> = line.split(' ').collect();
+    let (secs, millis) = words[1]
+        .strip_prefix("time=")
+        .unwrap()
+        .split_once('.')
+        .unwrap();
+    assert!(secs.parse::<u64>().unwrap() > 1_000_000_000, "{line}");
+    assert_eq!(millis.len(), 3, "{line}");
+    line.replacen(words[1], "time=T", 1)
+}
+
+#[test]
+fn format_events_match_file() {
+    let lines = Arc::new(Mutex::new(Vec::new()));
+    let log = bridge(Lines {
+        layout: KeyValueLayout {
+            node: "entry-1".to_owned(),
+        },
+        lines: Arc::clone(&lines),
+    });
+    let write = |level, event: &str, pairs: &[(&str, log::kv::Value<'_>)]| {
+        let mut record = Record::builder();
+        record.level(level).key_values(&pairs);
+        log.log(&record.args(format_args!("{event}")).build());
+    };
+    write(Level::Info, "node.started", &[]);
+    write(
+        Level::Info,
+        "request.answered",
+        &[
+            ("id", "5f3a-17".to_value()),
+            ("took_us", 41_250_u64.to_value()),
+            ("whole", true.to_value()),
+            ("share", 0.5.to_value()),
+        ],
+    );
+    write(
+        Level::Warn,
+        "request.refused",
+        &[
+            ("empty", "".to_value()),
+            ("spaces", "two words".to_value()),
+            ("quotes", "say \"no\"".to_value()),
+            ("equals", "a=b".to_value()),
+            ("lines", "one\ntwo".to_value()),
+            ("back", "a\\b".to_value()),
+            ("accent", "São".to_value()),
+        ],
+    );
+    write(Level::Debug, "call.sent", &[("attempt", 3_i64.to_value())]);
+    let found: Vec<_> = lines
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|l| without_time(l))
+        .collect();
+    assert_eq!(found.join("\n") + "\n", EXPECTED);
+}
+
+#[test]
+fn level_names_match() {
+    assert_eq!(level("").unwrap(), log::LevelFilter::Info);
+    assert_eq!(level("debug").unwrap(), log::LevelFilter::Debug);
+    assert!(
+        level("verbose")
+            .unwrap_err()
+            .to_string()
+            .contains("use error")
+    );
+}
