--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -157,6 +157,15 @@
     }
 }
 
+/// A latency bound, or nothing where none is declared.
+fn within(ms: u32) -> String {
+    if ms == 0 {
+        String::new()
+    } else {
+        format!("{ms}ms")
+    }
+}
+
 pub(crate) fn limits(services: &[v1::Service]) -> String {
     let mut table = Table::new(&[
         "service", "deadline", "longest", "extra", "body", "once", "latency", "within", "coverage",
@@ -177,7 +186,7 @@
             set(limits.body_bytes, "B"),
             set(limits.once_secs, "s"),
             share(objectives.latency_ppm),
-            format!("{}ms", objectives.latency_ms),
+            within(objectives.latency_ms),
             share(objectives.coverage_ppm),
             share(objectives.served_ppm),
         ]);
@@ -208,6 +217,9 @@
 }
 
 pub(crate) fn targets(targets: &[v1::TargetStatus]) -> String {
+    if targets.is_empty() {
+        return "no target\n".to_owned();
+    }
     let mut table = Table::new(&[
         "service",
         "target",
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -39,6 +39,15 @@
 }
 
 impl FileKind {
+    /// What such a file holds, in words.
+    #[must_use]
+    pub const fn words(self) -> &'static str {
+        match self {
+            Self::Node => "the settings of a node",
+            Self::Tier => "the configuration of a tier",
+        }
+    }
+
     /// Name of the schema's message.
     #[must_use]
     pub const fn message(self) -> &'static str {
--- a/crates/settings/src/nearest.rs
+++ b/crates/settings/src/nearest.rs
@@ -11,7 +11,7 @@
     if name.len() > MOST_BYTES {
         return None;
     }
-    let most = MOST_EDITS.min(name.chars().count());
+    let most = MOST_EDITS.min(name.chars().count() / 2);
     known
         .map(|k| (distance(name, k), k))
         .filter(|(edits, _)| *edits <= most)
--- a/crates/settings/src/shape.rs
+++ b/crates/settings/src/shape.rs
@@ -131,18 +131,30 @@
     let Ok(Some(Node::Object(object))) = parsed.map(|p| p.value) else {
         return FileKind::Tier;
     };
-    let known = |kind: FileKind| {
-        let fields = fields::message(kind.message()).map_or(&[][..], |m| m.fields);
-        let has = |f: &&Field| object.get(f.name).is_some();
-        fields.iter().filter(has).count()
-    };
-    if known(FileKind::Node) > known(FileKind::Tier) {
+    if known_keys(&object, FileKind::Node) > known_keys(&object, FileKind::Tier) {
         FileKind::Node
     } else {
         FileKind::Tier
     }
 }
 
+/// Keys at the top that settings of `kind` may have.
+fn known_keys(object: &Object<'_>, kind: FileKind) -> usize {
+    let fields = fields::message(kind.message()).map_or(&[][..], |m| m.fields);
+    let has = |f: &&Field| object.get(f.name).is_some();
+    fields.iter().filter(has).count()
+}
+
+/// The other kind, when the keys are of that one alone.
+fn other_kind(object: &Object<'_>, kind: FileKind) -> Option<FileKind> {
+    let other = match kind {
+        FileKind::Node => FileKind::Tier,
+        FileKind::Tier => FileKind::Node,
+    };
+    let alone = known_keys(object, kind) == 0 && known_keys(object, other) > 0;
+    alone.then_some(other)
+}
+
 /// Reads `text` as settings of `kind`.
 pub(crate) fn read(file: &str, text: &str, kind: FileKind) -> Result<Shaped, SettingsError> {
     let mut shaped = Shaped {
@@ -167,6 +179,12 @@
         shaped.report(1, "", Severity::Error, ("no object at the top", remedy));
         return Err(shaped.into_error());
     };
+    if let Some(other) = other_kind(&object, kind) {
+        let detail = format!("the file holds {}", other.words());
+        let remedy = format!("name a file of {}", kind.words());
+        shaped.report(1, "", Severity::Error, (&detail, &remedy));
+        return Err(shaped.into_error());
+    }
     let mut walk = Walk {
         lines: Lines::of(text),
         out: shaped,
--- a/crates/tier/src/entry.rs
+++ b/crates/tier/src/entry.rs
@@ -250,6 +250,10 @@
 
     /// Runs an admitted request to its verdict.
     pub(crate) async fn run(&self, id: QueryId, request: &Request) -> Result<Served, Refused> {
+        log::debug!(
+            id = request.trace.as_str(), service = request.service.name.as_str();
+            "request.admitted"
+        );
         let mut drive = Drive::new(self, id, self.run ^ id.seq, request);
         let verdict = drive.run().await;
         let attempts = drive.attempts();
--- a/crates/tier/src/lane.rs
+++ b/crates/tier/src/lane.rs
@@ -65,6 +65,11 @@
         true
     }
 
+    /// Target as configured now.
+    pub fn target(&self) -> Arc<Target> {
+        self.target.load_full()
+    }
+
     /// Where and how the target is reached.
     pub fn endpoint(&self) -> Endpoint {
         let target = self.target.load();
--- a/crates/tier/src/outcome.rs
+++ b/crates/tier/src/outcome.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use heatherrun_kernel::message::{Failure, Ran};
+use heatherrun_kernel::message::{CallResult, Failure, Ran};
 use heatherrun_kernel::view::Service;
 use heatherrun_kernel::{DomainId, ShardIx, TargetId, Time, View};
 use heatherrun_policy::query::Verdict;
@@ -266,6 +266,14 @@
     }
 }
 
+/// Outcome of one call for log lines.
+pub(crate) fn words_of(result: &CallResult) -> String {
+    match result {
+        Ok(_) => REPLIED.to_owned(),
+        Err(e) => words(&format!("{:?}", e.failure)),
+    }
+}
+
 /// `TimedOut` as `timed-out`.
 fn words(name: &str) -> String {
     let mut made = String::with_capacity(name.len() + 2);
--- a/crates/tier/src/owner.rs
+++ b/crates/tier/src/owner.rs
@@ -24,6 +24,7 @@
 use tokio::sync::Notify;
 
 use crate::lane::Lane;
+use crate::outcome;
 use crate::suspects::Suspects;
 
 /// Time that an unfetched batch is kept after its deadline.
@@ -85,6 +86,23 @@
         }
     }
 
+    fn log_sent(&self, lane: &Lane) {
+        if log::log_enabled!(log::Level::Debug) {
+            let (id, target) = (self.batch.trace.as_str(), lane.target());
+            let (target, attempt) = (target.name.as_str(), self.call.attempt);
+            log::debug!(id, target, attempt, shard = self.call.shard.0; "call.sent");
+        }
+    }
+
+    fn log_ended(&self, lane: &Lane, result: &CallResult) {
+        if log::log_enabled!(log::Level::Debug) {
+            let (id, target) = (self.batch.trace.as_str(), lane.target());
+            let (target, attempt) = (target.name.as_str(), self.call.attempt);
+            let outcome = outcome::words_of(result);
+            log::debug!(id, target, attempt, outcome = outcome.as_str(); "call.ended");
+        }
+    }
+
     fn is_cancelled(&self) -> bool {
         let calls = lock(&self.open.calls);
         calls.get(&self.call.attempt).is_none_or(|p| p.cancelled)
@@ -304,7 +322,9 @@
             left: left.saturating_sub(HOP),
             body: Arc::clone(&run.batch.body),
         };
+        run.log_sent(lane);
         let result = (self.targets.call)((lane.endpoint(), request)).await;
+        run.log_ended(lane, &result);
         self.note(lane, run, &result);
         if matches!(&result, Err(e) if e.failure == Failure::TimedOut) {
             self.end_late(lane, run, result.clone());
