--- /dev/null
+++ b/crates/cli/tests/sockets.rs
@@ -0,0 +1,134 @@
+//! The operators' client against real nodes on loopback.
+
+use std::{fs, path::Path, sync::Arc, thread};
+
+use heatherrun_cli::{Exit, Reply, Session, args, command, transport};
+use heatherrun_fakes::searcher::Settings;
+use heatherrun_schema::v1;
+use heatherrun_standins::local::LocalTier;
+
+const DOMAINS: [&str; 3] = ["wallis", "ticino", "zurich"];
+
+/// Starts three nodes; writes the configuration of their searchers to `file`.
+async fn start(file: &Path) -> LocalTier {
+    let mut tier = LocalTier::start().await.unwrap();
+    let settings = Settings::default();
+    let mut desk = tier
+        .add_sharded("buyer-desk", 2, &DOMAINS, &settings)
+        .await
+        .unwrap();
+    let viewer = tier
+        .add_pooled("lot-viewer", &DOMAINS, &settings)
+        .await
+        .unwrap();
+    desk.objectives = Some(v1::Objectives {
+        latency_ms: 110,
+        latency_ppm: 990_000,
+        coverage_ppm: 999_000,
+        served_ppm: 999_000,
+    });
+    for (n, domain) in DOMAINS.iter().enumerate() {
+        tier.add_node(&format!("entry-{n}"), domain).await.unwrap();
+    }
+    let domain = |name: &str| v1::FailureDomain {
+        name: name.to_owned(),
+        region: "alps".to_owned(),
+        out: false,
+    };
+    let config = v1::TierConfig {
+        domains: DOMAINS.map(domain).to_vec(),
+        services: vec![desk, viewer],
+    };
+    fs::write(file, serde_json::to_string_pretty(&config).unwrap()).unwrap();
+    tier
+}
+
+/// Runs a command line against all nodes.
+async fn run(tier: &LocalTier, line: &str) -> Reply {
+    let mut words: Vec<String> = line.split_whitespace().map(str::to_owned).collect();
+    for local in &tier.nodes {
+        words.extend(["--node".to_owned(), local.operators.to_string()]);
+    }
+    let running = tokio::task::spawn_blocking(move || {
+        let arguments = args::parse(&words).unwrap();
+        let session = Session {
+            nodes: arguments.node.clone(),
+            send: Box::new(transport::send),
+            pause: Box::new(thread::sleep),
+        };
+        command::run(&arguments, &session)
+    });
+    running.await.unwrap()
+}
+
+/// Runs a command line that must succeed.
+async fn done(tier: &LocalTier, line: &str) -> String {
+    let reply = run(tier, line).await;
+    assert_eq!(reply.exit, Exit::Done, "{line}: {reply:?}");
+    reply.text
+}
+
+fn revision(text: &str) -> u64 {
+    let answer: serde_json::Value = serde_json::from_str(text).unwrap();
+    answer["revision"].as_u64().unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn run_commands_against_nodes() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let (file, page) = (folder.join("tier.jsonc"), folder.join("burn.html"));
+    let tier = start(&file).await;
+    let apply = format!("apply {} --wait 30", file.display());
+    done(&tier, &apply).await;
+    tier.settle().await;
+    for n in 0..5 {
+        let node = Arc::clone(&tier.nodes[0].node);
+        let ask = v1::SearchRequest {
+            service: "buyer-desk".to_owned(),
+            query: "apricot kernels".to_owned(),
+            id: format!("search-{n}"),
+            ..v1::SearchRequest::default()
+        };
+        let searched = tier.nodes[0].run(async move { node.entry.search(ask).await });
+        assert!(searched.await.unwrap().is_ok());
+    }
+    let explained = done(&tier, "explain search-3").await;
+    assert!(
+        explained.starts_with("query search-3 on snapshot "),
+        "{explained}"
+    );
+    let services = done(&tier, "services").await;
+    assert!(services.contains("buyer-desk") && services.contains("lot-viewer"));
+    let targets = done(&tier, "targets buyer-desk").await;
+    assert_eq!(targets.lines().count(), 7, "{targets}");
+    let burn = done(&tier, "burn buyer-desk --json").await;
+    let burn: v1::BurnAnswer = serde_json::from_str(&burn).unwrap();
+    assert_eq!(burn.nodes.len(), 3);
+    let served = burn.services[0]
+        .windows
+        .iter()
+        .find(|w| w.objective == "served");
+    assert_eq!(served.map(|w| (w.good, w.total)), Some((5, 5)));
+    done(&tier, &format!("burn --html {}", page.display())).await;
+    assert!(fs::read_to_string(&page).unwrap().contains("<svg"));
+    assert!(done(&tier, "marks").await.starts_with("no request"));
+
+    let before = revision(&done(&tier, "status --json").await);
+    let dry = done(&tier, "domain out ticino --dry-run").await;
+    assert!(dry.contains("nothing was written"), "{dry}");
+    assert_eq!(revision(&done(&tier, "status --json").await), before);
+    done(&tier, "domain out ticino --wait 30").await;
+    let status = done(&tier, "status").await;
+    assert!(status.contains("ticino          alps    out"), "{status}");
+    assert!(
+        !done(&tier, &format!("diff {before}"))
+            .await
+            .starts_with("nothing")
+    );
+    assert!(done(&tier, "history").await.lines().count() > 1);
+
+    let stale = run(&tier, &format!("apply {} --base {before}", file.display())).await;
+    assert_eq!(stale.exit, Exit::Refused, "{stale:?}");
+    let unknown = run(&tier, "domain out nowhere").await;
+    assert_eq!(unknown.exit, Exit::Refused, "{unknown:?}");
+}
--- a/crates/settings/src/tier.rs
+++ b/crates/settings/src/tier.rs
@@ -134,8 +134,8 @@
     let zero = [("deadline_ms", usual), ("deadline_max", longest)];
     for (name, value) in zero {
         if value == 0 && out.has(&key(name)) {
-            let remedy = "write milliseconds, or leave the key out for the default";
-            out.fault(&key(name), "no request can meet 0", remedy);
+            let remedy = "write milliseconds, or leave the key out";
+            out.warn(&key(name), "0 takes the default", remedy);
         }
     }
 }
