--- a/crates/daemon/tests/metrics.rs
+++ b/crates/daemon/tests/metrics.rs
@@ -60,11 +60,11 @@
     send_all(&metrics::sink(Arc::clone(&client)));
     let mut buffer = [0; 2_048];
     // The queue's thread may take metrics after a flush: the daemon flushes each second.
-    let received = (0..TRIES).find_map(|_| {
+    let taken = (0..TRIES).find_map(|_| {
         client.flush().unwrap();
         receiver.recv(&mut buffer).ok()
     });
-    let length = received.unwrap();
+    let length = taken.unwrap();
     let first = EXPECTED.lines().next().unwrap();
     assert!(buffer[..length].starts_with(first.as_bytes()));
 }
