--- a/crates/kernel/src/registry.rs
+++ b/crates/kernel/src/registry.rs
@@ -111,18 +111,35 @@
     })
 }
 
-/// The report called `name`.
-///
-/// # Errors
-/// [`UnknownPlugin`] when there is none.
-pub fn report(name: &str) -> Result<fn(&v1::BurnAnswer) -> String, UnknownPlugin> {
-    let plugin = find(PluginKind::Report, name)?;
-    match plugin.make {
-        Make::Report(run) => Ok(run),
-        _ => Err(UnknownPlugin {
-            kind: PluginKind::Report,
-            name: name.to_owned(),
-            known: String::new(),
-        }),
-    }
+/// Defines the look-up of what plug-ins of one kind make or run.
+macro_rules! look_up {
+    ($(#[$doc:meta])* $name:ident, $kind:ident, $made:ty) => {
+        $(#[$doc])*
+        ///
+        /// # Errors
+        /// [`UnknownPlugin`] when there is none.
+        pub fn $name(name: &str) -> Result<$made, UnknownPlugin> {
+            match find(PluginKind::$kind, name)?.make {
+                Make::$kind(make) => Ok(make),
+                _ => unreachable!("a plug-in is of the kind of what makes it"),
+            }
+        }
+    };
+}
+
+look_up! {
+    /// What makes the port towards targets called `name`.
+    targets, Targets, fn() -> Targets
+}
+look_up! {
+    /// What makes the port towards other nodes called `name`.
+    peers, Peers, fn() -> Peers
+}
+look_up! {
+    /// What makes the port towards the platform called `name`.
+    platform, Platform, fn(SocketAddr) -> Platform
+}
+look_up! {
+    /// The report called `name`.
+    report, Report, fn(&v1::BurnAnswer) -> String
 }
--- a/crates/ports/src/peer_client.rs
+++ b/crates/ports/src/peer_client.rs
@@ -17,6 +17,7 @@
 use heatherrun_kernel::control::Ask;
 use heatherrun_kernel::message::{Batch, Cancel, Collect};
 use heatherrun_kernel::port::{PeerError, Peers, async_fn};
+use heatherrun_kernel::registry::{Make, Plugin, inventory};
 use tarpc::client::{self, NewClient, RpcError};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{context, serde_transport};
@@ -194,3 +195,11 @@
         }),
     }
 }
+
+inventory::submit! {
+    Plugin {
+        name: "tarpc",
+        about: "messages to other nodes by tarpc over TCP",
+        make: Make::Peers(peers),
+    }
+}
--- a/crates/ports/src/platform.rs
+++ b/crates/ports/src/platform.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use heatherrun_kernel::port::{Platform, StoreCall, StoreError, StoreReply, async_fn};
+use heatherrun_kernel::registry::{Make, Plugin, inventory};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 
@@ -62,3 +63,11 @@
     }
     serde_json::from_slice(reply.body()).map_err(|_| StoreError::NoAnswer)?
 }
+
+inventory::submit! {
+    Plugin {
+        name: "http",
+        about: "the platform's store and VM list over HTTP",
+        make: Make::Platform(platform),
+    }
+}
--- a/crates/ports/src/target.rs
+++ b/crates/ports/src/target.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use heatherrun_kernel::message::{CallError, CallKind, CallResult, Failure, TargetCall};
 use heatherrun_kernel::port::{Endpoint, Targets, async_fn};
+use heatherrun_kernel::registry::{Make, Plugin, inventory};
 use heatherrun_kernel::time::micros;
 use heatherrun_kernel::{CallId, TargetId};
 use http::{Request, Response, StatusCode};
@@ -151,3 +152,11 @@
     };
     let _ = client.exchange(route, request, |_| true).await;
 }
+
+inventory::submit! {
+    Plugin {
+        name: "http",
+        about: "calls to targets over HTTP, by pooled connections",
+        make: Make::Targets(targets),
+    }
+}
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -4,6 +4,7 @@
 
 use heatherrun_schema::v1;
 use plotters::coord::Shift;
+use plotters::coord::ranged1d::ValueFormatter;
 use plotters::prelude::*;
 use plotters::style::text_anchor::{HPos, Pos, VPos};
 
@@ -145,21 +146,13 @@
         secs.filter(|_| whole)
             .map_or(String::new(), |s| units::secs(*s))
     };
-    chart
-        .configure_mesh()
-        .disable_x_mesh()
-        .bold_line_style(GRID)
-        .light_line_style(TRANSPARENT)
-        .axis_style(MUTED)
-        .x_labels(WINDOWS.len() + 1)
-        .y_labels(6)
-        .x_label_formatter(&name)
-        .y_label_formatter(&|y| units::rate(*y))
-        .x_desc("window; no burn is drawn at the bottom")
-        .y_desc("burn rate")
-        .label_style((FONT, 13).into_font().color(&INK))
-        .axis_desc_style((FONT, 13).into_font().color(&MUTED))
-        .draw()?;
+    let labels = Labels {
+        ticks: WINDOWS.len() + 1,
+        x: &name,
+        x_desc: "window; no burn is drawn at the bottom",
+        y_desc: "burn rate",
+    };
+    mesh(&mut chart, &labels)?;
     chart.draw_series(LineSeries::new([(-0.4, 1.0), (6.4, 1.0)], MUTED))?;
     for rule in RULES {
         let at = |secs: u64| WINDOWS.iter().position(|w| *w == secs).map(as_f64);
@@ -192,6 +185,41 @@
     Ok(())
 }
 
+/// Labels of a chart.
+struct Labels<'a> {
+    ticks: usize,
+    x: &'a dyn Fn(&f64) -> String,
+    x_desc: &'a str,
+    y_desc: &'a str,
+}
+
+/// Draws the axes and the lines across.
+fn mesh<'a, X, Y>(
+    chart: &mut ChartContext<'a, SVGBackend<'a>, Cartesian2d<X, Y>>,
+    labels: &Labels<'_>,
+) -> Drawn
+where
+    X: Ranged<ValueType = f64> + ValueFormatter<f64>,
+    Y: Ranged<ValueType = f64> + ValueFormatter<f64>,
+{
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .bold_line_style(GRID)
+        .light_line_style(TRANSPARENT)
+        .axis_style(MUTED)
+        .x_labels(labels.ticks)
+        .y_labels(6)
+        .x_label_formatter(labels.x)
+        .y_label_formatter(&|y| units::rate(*y))
+        .x_desc(labels.x_desc)
+        .y_desc(labels.y_desc)
+        .label_style((FONT, 13).into_font().color(&INK))
+        .axis_desc_style((FONT, 13).into_font().color(&MUTED))
+        .draw()?;
+    Ok(())
+}
+
 /// Burn rate over the last day.
 pub(crate) fn over_time(burn: &v1::ServiceBurn) -> String {
     svg(HEIGHT, |area| draw_over_time(area, burn))
@@ -211,20 +239,13 @@
         0 => "now".to_owned(),
         hours => format!("{hours}h ago"),
     };
-    chart
-        .configure_mesh()
-        .disable_x_mesh()
-        .bold_line_style(GRID)
-        .light_line_style(TRANSPARENT)
-        .axis_style(MUTED)
-        .x_labels(7)
-        .y_labels(6)
-        .x_label_formatter(&ago)
-        .y_label_formatter(&|y| units::rate(*y))
-        .y_desc("burn rate in 5 minutes")
-        .label_style((FONT, 13).into_font().color(&INK))
-        .axis_desc_style((FONT, 13).into_font().color(&MUTED))
-        .draw()?;
+    let labels = Labels {
+        ticks: 7,
+        x: &ago,
+        x_desc: "",
+        y_desc: "burn rate in 5 minutes",
+    };
+    mesh(&mut chart, &labels)?;
     chart.draw_series(LineSeries::new([(-24.0, 1.0), (0.0, 1.0)], MUTED))?;
     for (series, points) in lines {
         let colour = colour(&series.objective).stroke_width(2);
