--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,7 +1,7 @@
 //! Logs by logforth: one line of key=value pairs for each event.
 //!
 //! The message of a record is the event's name. Its pairs follow the time,
-//! the level and the node's name; a value with spaces, quotes or an equals
+//! the level and the name of the VM; a value with spaces, quotes or an equals
 //! sign stands in quotes.
 
 use std::{fmt::Write as _, time::SystemTime};
@@ -16,8 +16,8 @@
 /// Layout of one line.
 #[derive(Clone, Debug)]
 pub struct KeyValueLayout {
-    /// Name of the node.
-    pub node: String,
+    /// Name of this VM; `node` in a pair may name another one.
+    pub vm: String,
 }
 
 impl Layout for KeyValueLayout {
@@ -31,7 +31,7 @@
         line.pair("time", &unix_time(record.time()));
         let level = record.level().name().to_ascii_lowercase();
         line.pair("level", &level);
-        line.pair("node", &self.node);
+        line.pair("vm", &self.vm);
         record.key_values().visit(&mut line)?;
         for diagnostic in diagnostics {
             diagnostic.visit(&mut line)?;
@@ -93,15 +93,13 @@
     LogBridge::new(logger)
 }
 
-/// Logs the events of `node` at `name` and above to standard output from now
+/// Logs the events of `vm` at level `name` and above to standard output from now
 /// on.
 ///
 /// # Errors
 /// When there is no level of this name, or logs go elsewhere already.
-pub fn start(node: &str, name: &str) -> anyhow::Result<()> {
-    let layout = KeyValueLayout {
-        node: node.to_owned(),
-    };
+pub fn start(vm: &str, name: &str) -> anyhow::Result<()> {
+    let layout = KeyValueLayout { vm: vm.to_owned() };
     let stdout = logforth::append::Stdout::default().with_layout(layout);
     log::set_boxed_logger(Box::new(bridge(stdout))).context("logs go elsewhere already")?;
     log::set_max_level(level(name)?);
--- a/crates/daemon/tests/logging.rs
+++ b/crates/daemon/tests/logging.rs
@@ -51,7 +51,7 @@
     let lines = Arc::new(Mutex::new(Vec::new()));
     let log = bridge(Lines {
         layout: KeyValueLayout {
-            node: "entry-1".to_owned(),
+            vm: "entry-1".to_owned(),
         },
         lines: Arc::clone(&lines),
     });
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -242,7 +242,7 @@
     let labels = Labels {
         ticks: 7,
         x: &ago,
-        x_desc: "",
+        x_desc: "time",
         y_desc: "burn rate in 5 minutes",
     };
     mesh(&mut chart, &labels)?;
