--- a/crates/schema/src/json.rs
+++ b/crates/schema/src/json.rs
@@ -19,7 +19,15 @@
                 let full = format!("{}{}", $prefix, name.to_ascii_uppercase());
                 $type::from_str_name(&full)
                     .map(|known| known as i32)
-                    .ok_or_else(|| D::Error::custom(format!("unknown value {name:?}")))
+                    .ok_or_else(|| {
+                        let known = (0..).map_while(|n| $type::try_from(n).ok());
+                        let names: Vec<_> = known
+                            .map(|k| k.as_str_name().trim_start_matches($prefix))
+                            .map(str::to_ascii_lowercase)
+                            .collect();
+                        let names = names.join(", ");
+                        D::Error::custom(format!("unknown value {name:?}; use one of {names}"))
+                    })
             }
         }
     };
