--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -1,5 +1,5 @@
-//! Arguments of the experiments: `--seed N`, `--secs N`, and a word that
-//! picks the cases whose name contains it.
+//! Arguments of the experiments: `--seed N`, `--secs N`, `--alone` to leave
+//! the baselines out, and words that pick the cases whose name contains them.
 
 /// Arguments.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -8,6 +8,8 @@
     pub seed: u64,
     /// Seconds of virtual time measured in each run.
     pub secs: u64,
+    /// Whether the baselines are left out.
+    pub alone: bool,
     /// Only cases that contain this.
     pub only: String,
 }
@@ -20,6 +22,7 @@
         let mut args = Self {
             seed: 1,
             secs,
+            alone: false,
             only: String::new(),
         };
         let mut words = std::env::args().skip(1);
@@ -27,6 +30,7 @@
             match word.as_str() {
                 "--seed" => args.seed = number(words.next(), args.seed),
                 "--secs" => args.secs = number(words.next(), args.secs),
+                "--alone" => args.alone = true,
                 other if other.starts_with('-') => {}
                 other => other.clone_into(&mut args.only),
             }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -8,6 +8,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use heatherrun_kernel::Time;
+use heatherrun_kernel::control::part;
 use heatherrun_kernel::message::{Failure, Warmth};
 
 /// Calls in flight that a warm target bears for each of its slots: those in
@@ -34,6 +35,9 @@
 /// them on average.
 const PACE: f64 = 1.25;
 
+/// Added to the wait for a token, against rounding.
+const LEAST_WAIT: Duration = Duration::from_micros(1);
+
 /// Weight of one call in the moving averages, as a divisor.
 const SMOOTHING: u32 = 32;
 
@@ -142,11 +146,10 @@
         self.work > 0
     }
 
-    /// Limit, of which `share` per cent may be used; at least one.
+    /// Limit, of which `share` per cent may be used.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn now(&self, share: u8) -> u16 {
-        let part = self.allowed * f64::from(share.min(100)) / 100.0;
-        (part as u16).max(1)
+        part((self.allowed as u16).max(1), share)
     }
 
     /// Latency of calls as they usually take.
@@ -157,7 +160,7 @@
     /// Expected time between two places that come free.
     pub fn turn(&self, share: u8) -> Duration {
         let took = self.recent.max(self.usual.unwrap_or_default());
-        took / u32::from(self.now(share))
+        took / u32::from(self.now(share).max(1))
     }
 
     /// Whether a call that took or waits this long is slow, with `beside`
@@ -185,7 +188,7 @@
         }
         let rate = self.allowed / usual * PACE;
         let gain = now.since(self.filled).as_secs_f64() * rate;
-        self.tokens = (self.tokens + gain).min(f64::from(self.slots));
+        self.tokens = (self.tokens + gain).min(bears - f64::from(self.slots) / 2.0);
         self.filled = now;
         if self.tokens < 1.0 {
             self.paced = true;
@@ -195,6 +198,13 @@
         true
     }
 
+    /// When the next token is there.
+    pub fn token_at(&self) -> Time {
+        let usual = self.usual.unwrap_or_default();
+        let missing = (1.0 - self.tokens).max(0.0);
+        self.filled + usual.mul_f64(missing / (self.allowed * PACE)) + LEAST_WAIT
+    }
+
     /// Notes a completed call.
     pub fn completed(&mut self, seen: Seen) {
         let slow = self.is_slow(seen.took, seen.beside);
@@ -271,7 +281,7 @@
         let queue = self.queue();
         if queue > slots / 2.0 {
             self.allowed = (self.allowed - 1.0 / self.allowed).max(slots.min(self.most));
-        } else if queue < slots / 3.0 && self.is_used(flying) {
+        } else if queue < slots / 4.0 && self.is_used(flying) {
             self.allowed += 1.0 / self.allowed;
         }
         self.allowed = self.allowed.min(self.cap());
--- a/crates/policy/src/query.rs
+++ b/crates/policy/src/query.rs
@@ -216,7 +216,7 @@
         cx: &mut Context<'_, R>,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let ix = self.shard(shard);
+        let ix = index(shard);
         let slot = &mut self.slots[shard];
         slot.again = None;
         if cx.level == Level::Banned {
@@ -544,7 +544,7 @@
         }
         let off = cx.budget.is_overloaded() || !self.has_idle(shard, now, cx);
         if off || !cx.budget.spend() {
-            let delay = cx.hedges.delay(self.shard(shard), self.spec.hedge);
+            let delay = cx.hedges.delay(index(shard), self.spec.hedge);
             self.slots[shard].hedge = Some(now + delay);
             return;
         }
@@ -553,10 +553,6 @@
         }
     }
 
-    fn shard(&self, at: usize) -> ShardIx {
-        ShardIx(u16::try_from(at).unwrap_or(u16::MAX))
-    }
-
     /// Whether some replica that was not tried has no calls queued.
     fn has_idle<R: Rng>(&self, shard: usize, now: Time, cx: &Context<'_, R>) -> bool {
         let tried = &self.slots[shard].tried;
@@ -649,7 +645,7 @@
                     merged.body = body;
                 }
                 None => merged.missing.push(Missing {
-                    shard: ShardIx(u16::try_from(shard).unwrap_or(u16::MAX)),
+                    shard: index(shard),
                     failure: slot.failure.unwrap_or(Failure::TimedOut),
                 }),
             }
@@ -659,6 +655,10 @@
     }
 }
 
+fn index(shard: usize) -> ShardIx {
+    ShardIx(u16::try_from(shard).unwrap_or(u16::MAX))
+}
+
 /// Whether another attempt cannot end better.
 const fn is_final(failure: Failure) -> bool {
     matches!(failure, Failure::Marked | Failure::Expired)
--- a/crates/tier/src/claim.rs
+++ b/crates/tier/src/claim.rs
@@ -13,6 +13,7 @@
 use crate::batches::peer_address;
 use crate::entry::{Entry, Served};
 use crate::once::{OnceId, window_ms};
+use crate::outcome::{Early, SHED};
 use crate::refuse;
 use crate::request::Request;
 
@@ -53,6 +54,7 @@
         let id = self.check_id(&request)?;
         let shared = self.shared(&request.service);
         let Some(_places) = self.admit(&shared, request.class) else {
+            self.note_unknown(&request, SHED);
             return unknown("overloaded", "this node is at its limit for the class");
         };
         let query = self.next_id();
@@ -79,11 +81,23 @@
             )),
             Some(ClaimAnswer::Unknown) => unknown("pending", "it is running, or may have run"),
             Some(ClaimAnswer::NotHolder) | None => {
+                self.note_unknown(&request, "no-holder");
                 unknown("unavailable", "the holder of its record gave no answer")
             }
         }
     }
 
+    /// Counts a refusal before the request was run here.
+    fn note_unknown(&self, request: &Request, kind: &str) {
+        self.outcomes().refused_early(&Early {
+            now: self.clock.now(),
+            service: &request.service,
+            id: &request.trace,
+            kind,
+            ran: Ran::Unknown,
+        });
+    }
+
     fn check_id<'a>(&self, request: &'a Request) -> Result<OnceId<'a>, Refused> {
         let Some(id) = OnceId::parse(&request.trace) else {
             return Err(refuse::not_run(
--- a/crates/tier/src/lane.rs
+++ b/crates/tier/src/lane.rs
@@ -11,12 +11,16 @@
 use heatherrun_kernel::view::Target;
 use heatherrun_kernel::{CallId, Clock, Time};
 use heatherrun_policy::gate::{Ask, Bounds, Gate, Step};
+use heatherrun_policy::limit::BEARS_FACTOR;
 use heatherrun_policy::proof::Proofs;
 use tokio::sync::oneshot;
 
 /// Tells a waiting call that it may be sent, or why not.
 type Turn = oneshot::Sender<Result<(), Failure>>;
 
+/// The other end of a [`Turn`].
+type Waiting = oneshot::Receiver<Result<(), Failure>>;
+
 /// One target with its gate.
 pub(crate) struct Lane {
     clock: Clock,
@@ -65,6 +69,11 @@
         true
     }
 
+    /// Target as configured now.
+    pub fn target(&self) -> Arc<Target> {
+        self.target.load_full()
+    }
+
     /// Where and how the target is reached.
     pub fn endpoint(&self) -> Endpoint {
         let target = self.target.load();
@@ -97,12 +106,23 @@
                 }
             }
         };
-        let told = tokio::select! {
-            biased;
-            told = turn => told.unwrap_or(Err(Failure::Cancelled)),
-            () = self.clock.sleep_until(ask.deadline) => Err(self.give_up(ask.id)),
-        };
-        told.map_err(CallError::not_run)
+        self.wait(ask, turn).await.map_err(CallError::not_run)
+    }
+
+    /// Waits for the turn, and lets calls go that wait for their pace alone.
+    async fn wait(&self, ask: Ask, mut turn: Waiting) -> Result<(), Failure> {
+        loop {
+            let wake = self.lock().gate.wake_at().unwrap_or(Time::MAX);
+            tokio::select! {
+                biased;
+                told = &mut turn => return told.unwrap_or(Err(Failure::Cancelled)),
+                () = self.clock.sleep_until(ask.deadline.min(wake)) => {}
+            }
+            if self.clock.now() >= ask.deadline {
+                return Err(self.give_up(ask.id));
+            }
+            self.advance(&mut self.lock());
+        }
     }
 
     /// Stops waiting; the turn may have come at the same moment.
@@ -148,11 +168,13 @@
     }
 }
 
-/// Calls in flight at the most: half of the connections, so that a successor
-/// finds the other half free. What the target bears is found by the gate.
+/// Calls in flight at the most: what the warm target bears, wherever its
+/// owner is, and no more than half of the connections, so that a successor
+/// finds the other half free.
 fn bounds(target: &Target) -> Bounds {
+    let bears = target.slots.saturating_mul(BEARS_FACTOR);
     Bounds {
         slots: target.slots,
-        most: (target.connections / 2).max(1),
+        most: bears.min(target.connections / 2).max(1),
     }
 }
