Waits at a target are estimated by all its calls, slow ones too

Cause: waits were estimated without slow calls, so calls queued at a replica that had become slow until their deadline. Change: a quick average of all calls; four places in the least queue; 20 extra calls saved up at the most.

--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -7,7 +7,7 @@
 const CALL_COST: i64 = 100;
 
 /// Largest number of extra calls that may be saved up.
-const SAVED_CALLS: i64 = 50;
+const SAVED_CALLS: i64 = 20;
 
 /// Unit of the share of calls refused for load; large enough that rounding
 /// does not matter.
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -12,7 +12,7 @@
 const QUEUE_FACTOR: usize = 4;
 
 /// Calls that may wait at a target with a small limit.
-const LEAST_QUEUE: usize = 8;
+const LEAST_QUEUE: usize = 4;
 
 /// Time after which a draining target is tried with one call.
 const DRAIN_PROBE: Duration = Duration::from_secs(10);
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -41,6 +41,9 @@
 /// Weight of one call in the moving averages, as a divisor.
 const SMOOTHING: u32 = 32;
 
+/// The same for the average by which waits are estimated.
+const QUICK_SMOOTHING: u32 = 8;
+
 /// Mean count of reported calls above which the reports are believed.
 const BELIEVED_BUSY: f64 = 0.25;
 
@@ -76,6 +79,8 @@
     usual: Option<Duration>,
     /// Mean latency of all calls but slow ones.
     recent: Duration,
+    /// Mean latency of all calls, quick to follow.
+    whole: Duration,
     /// Mean count of calls in flight that are not at the target.
     wire: f64,
     /// Mean count of calls at the target as it reports them.
@@ -99,6 +104,7 @@
             work: COLD_WORK,
             usual: None,
             recent: Duration::ZERO,
+            whole: Duration::ZERO,
             wire: 0.0,
             busy: 0.0,
             slow: VecDeque::with_capacity(RECENT),
@@ -159,7 +165,7 @@
 
     /// Expected time between two places that come free.
     pub fn turn(&self, share: u8) -> Duration {
-        let took = self.recent.max(self.usual.unwrap_or_default());
+        let took = self.whole.max(self.usual.unwrap_or_default());
         took / u32::from(self.now(share).max(1))
     }
 
@@ -253,6 +259,7 @@
     }
 
     fn average(&mut self, seen: Seen, slow: bool) {
+        self.whole = smooth(self.whole, seen.took, QUICK_SMOOTHING);
         let Some(usual) = self.usual else {
             self.usual = Some(seen.took);
             self.recent = seen.took;
@@ -263,9 +270,9 @@
             return;
         }
         if seen.beside <= usize::from(self.slots) {
-            self.usual = Some(smooth(usual, seen.took));
+            self.usual = Some(smooth(usual, seen.took, SMOOTHING));
         }
-        self.recent = smooth(self.recent, seen.took);
+        self.recent = smooth(self.recent, seen.took, SMOOTHING);
     }
 
     /// Raises the limit while it is used and calls do not queue at the
@@ -313,6 +320,6 @@
     }
 }
 
-fn smooth(old: Duration, new: Duration) -> Duration {
-    old.saturating_sub(old / SMOOTHING) + new / SMOOTHING
+fn smooth(old: Duration, new: Duration, divisor: u32) -> Duration {
+    old.saturating_sub(old / divisor) + new / divisor
 }
