Shares in doubt are checked by their names

Cause: the check asked for a share of 50 per cent, which the kernel now reads as the larger half, so that both sides of a doubt make up an odd limit; the old check held only for even limits. Change: the check names both shares and asks that they add up to the whole limit, which is stricter.

--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use heatherrun_kernel::control::{SHARE_DOUBT, SHARE_REST};
 use heatherrun_kernel::message::{
     CallError, CallResult, Class, Failure, TargetReply, TargetReport, Warmth,
 };
@@ -187,12 +188,15 @@
 }
 
 #[test]
-fn share_half_halves_the_limit() {
+fn share_in_doubt_halves_and_adds_up() {
     let mut bench = Bench::new(30, 20, 5);
     bench.saturate(2_000);
     let whole = bench.gate.limit();
-    bench.gate.set_share(50);
-    assert_eq!(bench.gate.limit(), whole / 2);
+    bench.gate.set_share(SHARE_DOUBT);
+    let doubt = bench.gate.limit();
+    bench.gate.set_share(SHARE_REST);
+    assert_eq!(doubt, whole / 2);
+    assert_eq!(doubt + bench.gate.limit(), whole);
 }
 
 #[test]
