--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -231,14 +231,15 @@
 }
 
 #[test]
-fn share_both_parts_make_up_the_limit() {
+fn share_in_doubt_halves_and_adds_up() {
     let mut bench = Bench::new(30, 20, 5);
     bench.saturate(2_000);
     let whole = bench.gate.limit();
     bench.gate.set_share(SHARE_DOUBT);
     let doubt = bench.gate.limit();
     bench.gate.set_share(SHARE_REST);
-    assert_eq!(bench.gate.limit() + doubt, whole);
+    assert_eq!(doubt, whole / 2);
+    assert_eq!(doubt + bench.gate.limit(), whole);
 }
 
 #[test]
