--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod crash;
 pub mod links;
 pub mod load;
+pub mod nodes;
 pub mod overload;
 pub mod plan;
 pub mod replan;
