--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -49,7 +49,8 @@
 pub fn rows(args: &Args, trials: &[Trial]) -> Vec<Row> {
     let mut cases = Vec::new();
     for trial in trials.iter().filter(|t| args.wants(&t.name)) {
-        for (name, server) in servers(args.seed) {
+        let count = if args.alone { 1 } else { usize::MAX };
+        for (name, server) in servers(args.seed).into_iter().take(count) {
             cases.push((trial, name, server));
         }
     }
