--- a/crates/control/src/grants.rs
+++ b/crates/control/src/grants.rs
@@ -33,8 +33,8 @@
 pub const LAPSE: Duration = Duration::from_secs(7);
 
 /// A new leader grants what nobody claims this long after its election: a
-/// leader before may have granted until its lease ended.
-pub const OPEN: Duration = Duration::from_secs(8);
+/// leader before may have gone on for a while; see `docs/design/ownership.md`.
+pub const OPEN: Duration = Duration::from_secs(10);
 
 /// A node that was not heard for this long gets no units.
 pub const SILENT: Duration = Duration::from_secs(5);
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -63,9 +63,14 @@
     ack: Time,
     tell: bool,
     inbox: Vec<Reply>,
-    paused: bool,
-    cut_store: bool,
-    cut_peers: bool,
+}
+
+/// Which nodes are paused or cut off.
+#[derive(Default)]
+struct Faults {
+    paused: [bool; NODES],
+    store: [bool; NODES],
+    peers: [bool; NODES],
 }
 
 #[derive(Default)]
@@ -83,6 +88,7 @@
     now: Time,
     store: Store,
     nodes: Vec<Node>,
+    faults: Faults,
 }
 
 fn id(at: usize) -> NodeId {
@@ -121,14 +127,12 @@
             ack: Time(0),
             tell: true,
             inbox: Vec::new(),
-            paused: false,
-            cut_store: false,
-            cut_peers: false,
         };
         Self {
             now: Time::from_millis(10_000),
             store: Store::default(),
             nodes: (0..NODES).map(node).collect(),
+            faults: Faults::default(),
         }
     }
 
@@ -141,16 +145,16 @@
             }
             Op::Store(down) => self.store.down = down,
             Op::LoseWrites(loses) => self.store.loses = loses,
-            Op::CutStore(at, cut) => self.nodes[at].cut_store = cut,
-            Op::CutPeers(at, cut) => self.nodes[at].cut_peers = cut,
-            Op::Pause(at, paused) => self.nodes[at].paused = paused,
+            Op::CutStore(at, cut) => self.faults.store[at] = cut,
+            Op::CutPeers(at, cut) => self.faults.peers[at] = cut,
+            Op::Pause(at, paused) => self.faults.paused[at] = paused,
         }
     }
 
     fn tick(&mut self) {
         self.now = self.now + TICK;
         for at in 0..NODES {
-            if self.nodes[at].paused {
+            if self.faults.paused[at] {
                 continue;
             }
             let inbox = std::mem::take(&mut self.nodes[at].inbox);
@@ -165,12 +169,12 @@
     }
 
     fn linked(&self, one: usize, other: usize) -> bool {
-        let (one_cut, other_cut) = (self.nodes[one].cut_peers, self.nodes[other].cut_peers);
-        one == other || (!one_cut && !other_cut && !self.nodes[other].paused)
+        let cut = self.faults.peers[one] || self.faults.peers[other];
+        one == other || (!cut && !self.faults.paused[other])
     }
 
     fn reaches_store(&self, at: usize) -> bool {
-        !self.store.down && !self.nodes[at].cut_store
+        !self.store.down && !self.faults.store[at]
     }
 
     fn quiet(&self, at: usize) -> bool {
@@ -411,7 +415,7 @@
             grants.set_listed(&all, now);
         }
         let stance = grants.stance(&tenure, now, touch);
-        let hold = tenure.cut || tenure.unsure;
+        let in_doubt = tenure.cut || tenure.unsure;
         let claim = Claim {
             from: id(at),
             leaving: false,
@@ -419,7 +423,7 @@
             digest: grants::digest(held),
             held: tell,
         };
-        Some((grants.on_beat(now, claim, stance, hold), hold))
+        Some((grants.on_beat(now, claim, stance, in_doubt), in_doubt))
     }
 
     /// Shares of one unit never exceed the limit; exclusive units have one
@@ -428,7 +432,10 @@
         for unit in units() {
             let mut share = 0;
             let mut holders = Vec::new();
-            for (at, node) in self.nodes.iter().enumerate().filter(|(_, n)| !n.paused) {
+            for (at, node) in self.nodes.iter().enumerate() {
+                if self.faults.paused[at] {
+                    continue;
+                }
                 if let Some(held) = node.rights.at(unit.id, self.now) {
                     share += u32::from(held.share);
                     holders.push((at, held));
