A leader without lease goes on as it was only while it never missed a node

Change: one gap makes a leader unsure until it holds the lease again, and an elected node beats to nobody else. The case is a test of its own.

--- a/crates/control/src/desk.rs
+++ b/crates/control/src/desk.rs
@@ -194,7 +194,7 @@
 
     /// Whether every node of the failure domain was heard lately.
     #[must_use]
-    pub fn is_sure(&self, tenure: &Tenure, now: Time) -> bool {
+    pub fn is_sure(&mut self, tenure: &Tenure, now: Time) -> bool {
         let stance = self.grants.stance(tenure, now, true);
         matches!(stance, Stance::Sure | Stance::Alone)
     }
--- a/crates/control/src/grants.rs
+++ b/crates/control/src/grants.rs
@@ -7,9 +7,9 @@
 //!
 //! - *sure*: it holds the store's lease. Everything may be granted; units are
 //!   used in full unless an earlier holder may still use them in doubt.
-//! - *alone*: the lease ended, but every node that was heard still is, so no
+//! - *alone*: the lease ended, but every node has been heard ever since, so no
 //!   node stands for election. Grants go on as they are.
-//! - *unsure*: the lease ended and some node is silent. Targets are used at
+//! - *unsure*: the lease ended and some node was silent since. Targets are used at
 //!   the share of doubt; exclusive units are not granted at all.
 //! - *cut*: the lease ended and nobody at all is heard. Nothing is granted,
 //!   since nobody could tell of a change.
@@ -142,6 +142,9 @@
     ending: BTreeMap<TargetId, Time>,
     /// True until the VM list was read after a lapse.
     unlisted: bool,
+    /// True once some node was not heard since the lease ended: another
+    /// leader may have been elected meanwhile.
+    gap: bool,
 }
 
 impl Grants {
@@ -165,6 +168,7 @@
             last: BTreeMap::new(),
             ending: BTreeMap::new(),
             unlisted: start == Start::Lapse,
+            gap: false,
         }
     }
 
@@ -233,20 +237,25 @@
     /// What the leader `me` may grant now; `touch` tells whether it hears
     /// another node or leader, or knows of none.
     #[must_use]
-    pub fn stance(&self, tenure: &Tenure, now: Time, touch: bool) -> Stance {
+    pub fn stance(&mut self, tenure: &Tenure, now: Time, touch: bool) -> Stance {
         if !tenure.unsure {
+            self.gap = false;
             return Stance::Sure;
         }
-        if !touch {
-            return Stance::Cut;
+        self.gap |= tenure.paused || !touch || !self.hears_all(now);
+        match (self.gap, touch) {
+            (false, _) => Stance::Alone,
+            (true, true) => Stance::Unsure,
+            (true, false) => Stance::Cut,
         }
+    }
+
+    /// Whether each node that is known was heard lately and heard an answer.
+    fn hears_all(&self, now: Time) -> bool {
         let heard = |p: &Peer| p.leaving || (p.acked && now.since(p.heard) < SILENT);
         let all = self.peers.values().all(heard);
         let listed = self.listed.iter().all(|n| self.peers.contains_key(n));
-        if all && listed && !tenure.paused {
-            return Stance::Alone;
-        }
-        Stance::Unsure
+        all && listed
     }
 
     /// True while an earlier holder may still use units in doubt.
@@ -294,7 +303,7 @@
         let peer = self.peers.entry(node).or_insert(fresh);
         let turned = peer.leaving != claim.leaving;
         peer.heard = now;
-        peer.acked = claim.acked;
+        peer.acked = claim.acked || !known;
         peer.leaving = claim.leaving;
         peer.hold = hold;
         let applied = peer.sent == Some(claim.digest);
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -370,6 +370,9 @@
         let Some(leader) = self.nodes[at].leader else {
             return;
         };
+        if leader != at && self.nodes[at].lead.tenure().is_some() {
+            return;
+        }
         if self.nodes[at]
             .inbox
             .iter()
@@ -481,6 +484,29 @@
     }
 }
 
+/// A node that was elected while the leader was cut off, and could not open
+/// its desk, must not look to the old leader like a follower.
+#[test]
+fn rights_cut_leader_stays_unsure() {
+    let mut world = World::new();
+    let ops = [
+        Op::Run(5),
+        Op::CutPeers(0, true),
+        Op::CutStore(0, true),
+        Op::Run(13),
+        Op::CutPeers(0, false),
+        Op::Store(true),
+        Op::Run(10),
+        Op::Store(false),
+        Op::Run(21),
+        Op::CutPeers(1, true),
+        Op::Run(21),
+    ];
+    for op in ops {
+        world.apply(op);
+    }
+}
+
 #[test]
 fn rights_all_granted_when_quiet() {
     let mut world = World::new();
--- a/crates/tier/src/control/beats.rs
+++ b/crates/tier/src/control/beats.rs
@@ -68,7 +68,9 @@
     fn make_beat(&self) -> Option<(NodeInfo, Beat)> {
         let mut state = self.lock();
         let now = self.clock.now();
-        if state.lead.tenure().is_some() && state.desk.is_some() {
+        if state.lead.tenure().is_some() {
+            // An elected node is no one's follower, also before it can grant.
+            state.desk.as_ref()?;
             state.follow(self.info.clone(), now);
         }
         let link = state.link.clone()?;
--- a/crates/tier/src/control/guests.rs
+++ b/crates/tier/src/control/guests.rs
@@ -200,7 +200,8 @@
         };
         let heard = |r: &super::Remote| r.info.id == self.info.id || now.since(r.heard) < SILENT;
         let remotes = state.remotes.values().all(heard);
-        remotes && state.desk.as_ref().is_some_and(|d| d.is_sure(&tenure, now))
+        let desk = state.desk.as_mut();
+        remotes && desk.is_some_and(|d| d.is_sure(&tenure, now))
     }
 }
 
