--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -182,7 +182,7 @@
 
     /// Calls in flight that take longer than calls usually do by far.
     fn overdue(&self, now: Time) -> usize {
-        let slow = |f: &&Flight| self.limit.is_slow(now.since(f.sent));
+        let slow = |f: &&Flight| self.limit.is_slow(now.since(f.sent), f.beside);
         self.flying.values().filter(slow).count()
     }
 
@@ -254,7 +254,7 @@
                 self.note_drain(now, reply.report.warmth == Warmth::Draining);
             }
             Err(error) => {
-                self.limit.failed(error.failure, took);
+                self.limit.failed(error.failure, took, flight.beside);
                 if error.failure == Failure::Draining {
                     self.note_drain(now, true);
                 }
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -1,5 +1,5 @@
-//! The delay after which a call is hedged, learned for each shard of a
-//! service as a quantile of the latencies seen.
+//! The delay after which a call is hedged, learned for each service and each
+//! of its shards as a quantile of the latencies seen.
 
 use std::{
     sync::atomic::{AtomicU32, AtomicU64, Ordering},
@@ -10,12 +10,17 @@
 use heatherrun_kernel::time::micros;
 
 /// Calls, per thousand, that are answered within the delay.
-const QUANTILE: u64 = 970;
+const QUANTILE: u64 = 965;
 
 /// Bounds of the delay.
 const LEAST: Duration = Duration::from_millis(2);
 const MOST: Duration = Duration::from_secs(1);
 
+/// Longest delay of a shard, in per cent of that of its service. The service
+/// sees many more calls and learns faster; a shard whose replica is slow
+/// must not learn that this is usual.
+const SHARD_PERCENT: u64 = 130;
+
 /// Step of the estimate for one call, per thousand of it, once it is settled.
 const STEP: u64 = 50;
 
@@ -53,6 +58,7 @@
 /// Learned delays of one service.
 #[derive(Debug, Default)]
 pub struct Hedges {
+    service: Quantile,
     shards: Vec<Quantile>,
 }
 
@@ -62,7 +68,10 @@
     pub fn new(shards: usize) -> Self {
         let mut made = Vec::new();
         made.resize_with(shards, Quantile::default);
-        Self { shards: made }
+        Self {
+            service: Quantile::default(),
+            shards: made,
+        }
     }
 
     /// Shards for which delays are learned.
@@ -73,6 +82,7 @@
 
     /// Notes the latency of a call.
     pub fn note(&self, shard: ShardIx, took: Duration) {
+        self.service.note(micros(took));
         if let Some(quantile) = self.shards.get(usize::from(shard.0)) {
             quantile.note(micros(took));
         }
@@ -82,9 +92,11 @@
     #[must_use]
     pub fn delay(&self, shard: ShardIx, first: Duration) -> Duration {
         let known = self.shards.get(usize::from(shard.0));
-        match known.map_or(0, |q| q.micros.load(Ordering::Relaxed)) {
-            0 => first,
-            micros => Duration::from_micros(micros).clamp(LEAST, MOST),
+        let own = known.map_or(0, |q| q.micros.load(Ordering::Relaxed));
+        if own == 0 {
+            return first;
         }
+        let bound = self.service.micros.load(Ordering::Relaxed) * SHARD_PERCENT / 100;
+        Duration::from_micros(own.min(bound)).clamp(LEAST, MOST)
     }
 }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -28,7 +28,7 @@
 
 /// Slow ones among the latest calls that make a jump. A lone straggler does
 /// not.
-const JUMP: usize = 3;
+const JUMP: usize = 4;
 
 /// Factor by which sends to a far target may come faster than its limit makes
 /// them on average.
@@ -138,9 +138,13 @@
         took / u32::from(self.now(share))
     }
 
-    /// Whether a call that took or waits this long is slow.
-    pub fn is_slow(&self, took: Duration) -> bool {
-        self.usual.is_some_and(|usual| took > usual * SLOW_FACTOR)
+    /// Whether a call that took or waits this long is slow, sent as one of
+    /// `beside` in flight: those past the slots wait for one.
+    pub fn is_slow(&self, took: Duration, beside: usize) -> bool {
+        let turns = beside.div_ceil(usize::from(self.slots)).max(1);
+        let turns = u32::try_from(turns).unwrap_or(u32::MAX);
+        let factor = SLOW_FACTOR.saturating_mul(turns);
+        self.usual.is_some_and(|usual| took > usual * factor)
     }
 
     /// Takes one token for a send. More calls than the target bears at its
@@ -168,7 +172,7 @@
 
     /// Notes a completed call.
     pub fn completed(&mut self, seen: Seen) {
-        let slow = self.is_slow(seen.took);
+        let slow = self.is_slow(seen.took, seen.beside);
         self.average(seen, slow);
         self.note_speed(slow, 0);
         if seen.warmth == Warmth::Cold {
@@ -255,11 +259,11 @@
     }
 
     /// Notes the failure of a call; each sign of a cold turn counts at once.
-    pub fn failed(&mut self, failure: Failure, took: Duration) {
+    pub fn failed(&mut self, failure: Failure, took: Duration, beside: usize) {
         match failure {
             Failure::Busy | Failure::ConnectionLost | Failure::NoConnection => self.turn_cold(),
             Failure::TimedOut => self.note_speed(true, 0),
-            Failure::Cancelled if self.is_slow(took) => self.note_speed(true, 0),
+            Failure::Cancelled if self.is_slow(took, beside) => self.note_speed(true, 0),
             _ => {}
         }
     }
--- a/crates/policy/src/query.rs
+++ b/crates/policy/src/query.rs
@@ -25,6 +25,9 @@
 /// Shards asked at the same time before the search is proven.
 const MOST_FIRST: usize = 2;
 
+/// Time after which a hedge that could not be sent is tried again.
+const HEDGE_AGAIN: Duration = Duration::from_millis(5);
+
 /// Hedge delays after which an answer with enough coverage waits no longer
 /// for a shard.
 const PATIENCE: u32 = 4;
@@ -180,7 +183,7 @@
         actions
     }
 
-    /// Asks all shards that were not asked, or one more while probing.
+    /// Asks all shards that were not asked, or a few of them while probing.
     fn launch<R: Rng>(
         &mut self,
         reason: Reason,
@@ -193,6 +196,8 @@
         if self.probing {
             first = cx.rng.random_range(0..count);
         }
+        let pinned = self.snapshot != Snapshot(0) && !self.is_suspect(cx);
+        let most = if pinned { MOST_FIRST } else { 1 };
         for step in 0..count {
             let shard = (first + step) % count;
             if !self.slots[shard].is_held() {
@@ -202,7 +207,7 @@
             if !sent && cx.level != Level::Banned {
                 self.pause(shard, now, cx);
             }
-            if sent && self.probing {
+            if sent && self.probing && self.open() >= most {
                 return;
             }
         }
@@ -470,7 +475,7 @@
                 continue;
             }
             if slot.hedge.is_some_and(|at| at <= now) {
-                slot.hedge = None;
+                slot.hedge = Some(now + HEDGE_AGAIN);
                 self.hedge(shard, now, cx, &mut actions);
             }
         }
@@ -513,7 +518,11 @@
         cx: &mut Context<'_, R>,
         actions: &mut Vec<Action>,
     ) {
-        if self.is_suspect(cx) || self.slots[shard].open.is_empty() {
+        if !self.slots[shard].may_send() || self.slots[shard].open.is_empty() {
+            self.slots[shard].hedge = None;
+            return;
+        }
+        if self.is_suspect(cx) {
             return;
         }
         if self.probing {
@@ -525,7 +534,7 @@
         let unproven = !self.spec.proven && self.slots[shard].open.len() >= MOST_FIRST;
         let marked = cx.level != Level::Clear;
         let off = cx.budget.is_overloaded(now) || unproven || marked;
-        if off || !self.slots[shard].may_send() || !self.has_idle(shard, now, cx) {
+        if off || !self.has_idle(shard, now, cx) {
             return;
         }
         if cx.budget.spend() && !self.send(shard, Reason::Hedge, now, cx, actions) {
