--- a/crates/control/src/grants.rs
+++ b/crates/control/src/grants.rs
@@ -11,6 +11,8 @@
 //!   node stands for election. Grants go on as they are.
 //! - *unsure*: the lease ended and some node is silent. Targets are used at
 //!   the share of doubt; exclusive units are not granted at all.
+//! - *cut*: the lease ended and nobody at all is heard. Nothing is granted,
+//!   since nobody could tell of a change.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -37,7 +39,7 @@
 /// A node that was not heard for this long gets no units.
 pub const SILENT: Duration = Duration::from_secs(5);
 
-/// Bits of an epoch that count within one term.
+/// Bits of an epoch that count a unit's moves within one term.
 const EPOCH_BITS: u32 = 20;
 
 /// One unit as the configuration names it.
@@ -63,6 +65,8 @@
     Alone,
     /// It lost touch with the store and with some node.
     Unsure,
+    /// It lost touch with everyone.
+    Cut,
 }
 
 /// How the term of a leader began.
@@ -124,7 +128,6 @@
 #[derive(Clone, Debug)]
 pub struct Grants {
     term: Epoch,
-    count: u64,
     opened: Time,
     slots: BTreeMap<TargetId, Slot>,
     peers: BTreeMap<NodeId, Peer>,
@@ -132,6 +135,9 @@
     held: BTreeMap<NodeId, BTreeSet<TargetId>>,
     changed: BTreeSet<TargetId>,
     doubted: BTreeSet<NodeId>,
+    listed: BTreeSet<NodeId>,
+    /// Last epochs of units that were taken away.
+    last: BTreeMap<TargetId, Epoch>,
     /// When units that were taken away while held are surely unused.
     ending: BTreeMap<TargetId, Time>,
     /// True until the VM list was read after a lapse.
@@ -148,7 +154,6 @@
         };
         Self {
             term,
-            count: 0,
             opened: now + wait,
             slots: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -156,6 +161,8 @@
             held: BTreeMap::new(),
             changed: BTreeSet::new(),
             doubted: BTreeSet::new(),
+            listed: BTreeSet::new(),
+            last: BTreeMap::new(),
             ending: BTreeMap::new(),
             unlisted: start == Start::Lapse,
         }
@@ -182,7 +189,7 @@
             let made = Slot {
                 unit,
                 holder: None,
-                epoch: Epoch(0),
+                epoch: self.last.get(&id).copied().unwrap_or_default(),
                 share: 0,
                 until: self.opened.max(ending).max(unit.free),
             };
@@ -195,6 +202,7 @@
         let Some(slot) = self.slots.remove(&id) else {
             return;
         };
+        self.last.insert(id, slot.epoch);
         if let Some(node) = slot.holder {
             self.held.entry(node).or_default().remove(&id);
             self.ending.insert(id, slot.until);
@@ -205,7 +213,6 @@
     pub fn raise(&mut self, term: Epoch) {
         if term > self.term {
             self.term = term;
-            self.count = 0;
         }
     }
 
@@ -219,17 +226,24 @@
             self.doubted.extend(silent);
         }
         self.doubted.retain(|node| listed.contains(node));
+        self.listed.clone_from(listed);
         self.plan(now);
     }
 
-    /// What the leader may grant now.
+    /// What the leader `me` may grant now; `touch` tells whether it hears
+    /// another node or leader, or knows of none.
     #[must_use]
-    pub fn stance(&self, tenure: &Tenure, now: Time) -> Stance {
+    pub fn stance(&self, tenure: &Tenure, now: Time, touch: bool) -> Stance {
         if !tenure.unsure {
             return Stance::Sure;
         }
+        if !touch {
+            return Stance::Cut;
+        }
         let heard = |p: &Peer| p.leaving || (p.acked && now.since(p.heard) < SILENT);
-        if !tenure.paused && self.peers.values().all(heard) {
+        let all = self.peers.values().all(heard);
+        let listed = self.listed.iter().all(|n| self.peers.contains_key(n));
+        if all && listed && !tenure.paused {
             return Stance::Alone;
         }
         Stance::Unsure
@@ -356,7 +370,7 @@
 
     fn grant(&mut self, now: Time, node: NodeId, stance: Stance) -> Vec<Grant> {
         let mut units = self.held.get(&node).cloned().unwrap_or_default();
-        if stance != Stance::Unsure {
+        if matches!(stance, Stance::Sure | Stance::Alone) {
             units.extend(self.wanted.get(&node).into_iter().flatten());
         }
         let doubt = self.doubt();
@@ -384,8 +398,7 @@
                 continue;
             }
             if taken {
-                self.count += 1;
-                slot.epoch = Epoch((self.term.0 << EPOCH_BITS) + self.count);
+                slot.epoch = Epoch(slot.epoch.0.max(self.term.0 << EPOCH_BITS) + 1);
                 slot.holder = Some(node);
                 self.held.entry(node).or_default().insert(id);
                 self.changed.insert(id);
@@ -399,6 +412,7 @@
                 unit: id,
                 epoch: slot.epoch,
                 share,
+                exclusive: slot.unit.exclusive,
             });
         }
         grants
@@ -485,7 +499,7 @@
 /// Share that a slot may be used with.
 fn share(slot: &Slot, stance: Stance, doubt: bool, taken: bool) -> u8 {
     match (stance, slot.unit.exclusive) {
-        (Stance::Unsure, true) => 0,
+        (Stance::Cut, _) | (Stance::Unsure, true) => 0,
         (Stance::Unsure, false) if taken || slot.share == SHARE_REST => 0,
         (Stance::Unsure, false) => SHARE_DOUBT,
         (_, true) => SHARE_FULL,
