--- a/crates/bench/src/cell.rs
+++ b/crates/bench/src/cell.rs
@@ -12,12 +12,12 @@
 
 use heatherrun_control::rendezvous;
 use heatherrun_fakes::searcher::{Searcher, Settings};
-use heatherrun_kernel::control::Answer;
+use heatherrun_kernel::control::{Answer, Ask};
 use heatherrun_kernel::message::NodeInfo;
 use heatherrun_kernel::port::async_fn;
 use heatherrun_kernel::view::{Member, Owner as OwnerOf, Service, Standing};
 use heatherrun_kernel::{Clock, DomainId, Epoch, MapRev, NodeId, Revision, ServiceId, ShardIx};
-use heatherrun_kernel::{TargetId, View, ViewCell, port::Targets};
+use heatherrun_kernel::{ONCE_PARTITIONS, TargetId, View, ViewCell, port::Targets};
 use heatherrun_schema::v1;
 use heatherrun_tier::entry::Entry;
 use heatherrun_tier::owner::{Owner, Right};
@@ -28,6 +28,9 @@
 /// Revision of the configuration at the start.
 const START: Revision = Revision(1);
 
+/// Unix time at the start of the paused clock, in milliseconds.
+pub const START_MS: u64 = 1_000_000;
+
 /// One node.
 pub struct CellNode {
     /// Names and addresses.
@@ -184,10 +187,15 @@
         Arc::clone(&owner),
         info.started,
     );
+    let answering = (Arc::clone(&entry), Arc::clone(&owner));
+    let control = async_fn(move |ask| {
+        let answer = answer(&answering.0, &answering.1, &ask);
+        async move { answer }
+    });
     let reach = Reach {
         domain: info.domain,
         owner,
-        control: async_fn(|_| async { Answer::Refused(None) }),
+        control,
     };
     let node = CellNode {
         info,
@@ -198,6 +206,23 @@
     (node, reach)
 }
 
+/// Answers a control message as a node does, but for those of the control
+/// plane, which a cell does not run.
+fn answer(entry: &Entry, owner: &Owner, ask: &Ask) -> Answer {
+    match ask {
+        Ask::Claim(claim) => Answer::Claim(entry.once().claim(claim)),
+        Ask::Settle(settle) => {
+            entry.once().settle(settle);
+            Answer::Taken
+        }
+        Ask::Suspect(told) => {
+            owner.suspects().note(told);
+            Answer::Taken
+        }
+        _ => Answer::Refused(None),
+    }
+}
+
 fn first_view(plan: &Plan) -> View {
     let mut view = View::default();
     let domain = |name: &&str| v1::FailureDomain {
@@ -213,6 +238,7 @@
         let member = member(ix, plan);
         view.nodes.insert(member.info.id, member);
     }
+    own_partitions(&mut view, plan);
     let targets: Vec<_> = view.targets.values().cloned().collect();
     for target in targets {
         let near = view
@@ -230,6 +256,20 @@
     view
 }
 
+/// Gives the partitions of once-only records to the nodes.
+fn own_partitions(view: &mut View, plan: &Plan) {
+    let nodes: Vec<_> = view.nodes.keys().copied().collect();
+    for service in plan.services.iter().filter(|s| s.shards == 0) {
+        for n in 0..ONCE_PARTITIONS {
+            let unit = TargetId::of_partition(service.name, n);
+            if let Some(node) = rendezvous::choose(unit, nodes.iter().copied()) {
+                let epoch = Epoch(1);
+                view.owners.insert(unit, OwnerOf { node, epoch });
+            }
+        }
+    }
+}
+
 fn member(ix: usize, plan: &Plan) -> Member {
     let name = format!("entry-{ix}");
     let port = u16::try_from(ix).unwrap_or(0) + 1;
@@ -239,7 +279,7 @@
         domain: DomainId::of(plan.domains[ix % plan.domains.len()]),
         peers: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
         callers: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
-        started: plan.seed + u64::from(port),
+        started: START_MS,
     };
     Member {
         info,
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -8,6 +8,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use heatherrun_kernel::Time;
+use heatherrun_kernel::control::part;
 use heatherrun_kernel::message::{Failure, Warmth};
 
 /// Calls in flight that a warm target bears for each of its slots: those in
@@ -30,6 +31,10 @@
 /// not.
 const JUMP: usize = 3;
 
+/// Factor by which sends to a far target may come faster than its limit makes
+/// them on average.
+const PACE: f64 = 1.25;
+
 /// Weight of one call in the moving averages, as a divisor.
 const SMOOTHING: u32 = 8;
 
@@ -67,6 +72,8 @@
     slow: VecDeque<bool>,
     tokens: f64,
     filled: Time,
+    /// Whether a send was put off for want of a token since a call ended.
+    paced: bool,
 }
 
 impl Limit {
@@ -83,6 +90,7 @@
             slow: VecDeque::with_capacity(RECENT),
             tokens: f64::from(slots * BEARS_FACTOR),
             filled: Time::default(),
+            paced: false,
         };
         made.turn_cold();
         made
@@ -116,8 +124,7 @@
     /// Limit, of which `share` per cent may be used; at least one.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn now(&self, share: u8) -> u16 {
-        let part = self.allowed * f64::from(share.min(100)) / 100.0;
-        (part as u16).max(1)
+        part((self.allowed as u16).max(1), share)
     }
 
     /// Latency of calls as they usually take.
@@ -128,7 +135,7 @@
     /// Expected time between two places that come free.
     pub fn turn(&self, share: u8) -> Duration {
         let took = self.recent.max(self.usual.unwrap_or_default());
-        took / u32::from(self.now(share))
+        took / u32::from(self.now(share).max(1))
     }
 
     /// Whether a call that took or waits this long is slow.
@@ -147,11 +154,12 @@
             self.filled = now;
             return true;
         }
-        let rate = self.allowed / usual;
+        let rate = self.allowed / usual * PACE;
         let gain = now.since(self.filled).as_secs_f64() * rate;
         self.tokens = (self.tokens + gain).min(bears - f64::from(self.slots) / 2.0);
         self.filled = now;
         if self.tokens < 1.0 {
+            self.paced = true;
             return false;
         }
         self.tokens -= 1.0;
@@ -175,6 +183,7 @@
             return;
         }
         self.adapt(seen.flying);
+        self.paced = false;
     }
 
     /// Notes whether one call was slow while `overdue` others in flight are
@@ -231,7 +240,7 @@
     }
 
     fn is_used(&self, flying: usize) -> bool {
-        flying + 1 >= usize::from(self.now(100))
+        self.paced || flying + 1 >= usize::from(self.now(100))
     }
 
     /// Calls that wait at the target, by how much longer calls take than
