--- a/crates/ports/src/http_reply.rs
+++ b/crates/ports/src/http_reply.rs
@@ -87,6 +87,19 @@
     }
 }
 
+/// Marks a response that is not to be sent; the connection closes instead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
+#[error("the connection closes without a response")]
+pub struct Aborted;
+
+/// Response that closes the connection without a byte, as a crash does.
+#[must_use]
+pub fn abort() -> Reply {
+    let mut reply = respond(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new());
+    reply.extensions_mut().insert(Aborted);
+    reply
+}
+
 /// Response with a refusal, and when to come again.
 #[must_use]
 pub fn refuse(status: StatusCode, refused: &v1::Refusal) -> Reply {
--- a/crates/ports/src/http_server.rs
+++ b/crates/ports/src/http_server.rs
@@ -2,7 +2,6 @@
 //! graceful shutdown.
 
 use std::{
-    convert::Infallible,
     net::SocketAddr,
     pin::Pin,
     sync::{
@@ -24,7 +23,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 use crate::http_io::Guarded;
-use crate::http_reply::{Fault, Reply, close_after};
+use crate::http_reply::{Aborted, Fault, Reply, close_after};
 
 /// Bytes of headers and read buffer at the most, per connection.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -176,7 +175,7 @@
     let service = service_fn(move |request| {
         seen.fetch_add(1, Ordering::AcqRel);
         let shared = Arc::clone(&own);
-        async move { Ok::<_, Infallible>(receive(&shared, request, from).await) }
+        async move { receive(&shared, request, from).await }
     });
     let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -208,7 +207,11 @@
     drop(place);
 }
 
-async fn receive<F, A>(shared: &Shared<A>, request: Request<Incoming>, from: SocketAddr) -> Reply
+async fn receive<F, A>(
+    shared: &Shared<A>,
+    request: Request<Incoming>,
+    from: SocketAddr,
+) -> Result<Reply, Aborted>
 where
     F: Future<Output = Reply>,
     A: Fn(Result<Received, Fault>, SocketAddr) -> F,
@@ -229,5 +232,8 @@
     if faulty || *shared.phase.borrow() != Phase::Serve {
         close_after(&mut reply);
     }
-    reply
+    match reply.extensions().get::<Aborted>() {
+        Some(aborted) => Err(*aborted),
+        None => Ok(reply),
+    }
 }
--- a/crates/standins/src/local.rs
+++ b/crates/standins/src/local.rs
@@ -49,7 +49,8 @@
         };
         let searcher = Searcher::new(settings);
         let (stop, stopped) = watch::channel(Phase::Serve);
-        let serving = crate::searcher::serve(listener, searcher.clone(), stopped);
+        let most = config.connections as usize;
+        let serving = crate::searcher::serve(listener, searcher.clone(), most, stopped);
         Ok(Self {
             searcher,
             config,
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,9 +1,9 @@
 //! The platform's key-value service and VM list on a socket.
 
 use heatherrun_fakes::store::Store;
-use heatherrun_kernel::port::StoreCall;
-use heatherrun_ports::http_reply::{json, plain};
-use heatherrun_ports::http_server::{self, Limits, Phase};
+use heatherrun_kernel::port::{StoreCall, StoreError};
+use heatherrun_ports::http_reply::{Fault, Reply, abort, json, plain};
+use heatherrun_ports::http_server::{self, Limits, Phase, Received};
 use http::StatusCode;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -13,23 +13,27 @@
 
 /// Serves `store` until the phase is [`Phase::Close`].
 pub async fn serve(listener: TcpListener, store: Store, phase: watch::Receiver<Phase>) {
-    http_server::serve(
-        listener,
-        Limits::new(BODY_BYTES),
-        phase,
-        move |received, _| {
-            let store = store.clone();
-            async move {
-                let received = match received {
-                    Ok(received) => received,
-                    Err(fault) => return fault.reply(),
-                };
-                match serde_json::from_slice::<StoreCall>(&received.body) {
-                    Ok(call) => json(StatusCode::OK, &store.call(call).await),
-                    Err(e) => plain(StatusCode::BAD_REQUEST, &e.to_string()),
-                }
-            }
-        },
-    )
+    let limits = Limits::new(BODY_BYTES);
+    http_server::serve(listener, limits, phase, move |received, _| {
+        let store = store.clone();
+        async move { answer(&store, received).await }
+    })
     .await;
 }
+
+/// Answers one call; an answer lost after effect closes the connection.
+async fn answer(store: &Store, received: Result<Received, Fault>) -> Reply {
+    let received = match received {
+        Ok(received) => received,
+        Err(fault) => return fault.reply(),
+    };
+    let call = match serde_json::from_slice::<StoreCall>(&received.body) {
+        Ok(call) => call,
+        Err(e) => return plain(StatusCode::BAD_REQUEST, &e.to_string()),
+    };
+    match store.call(call).await {
+        Err(e @ StoreError::Unavailable) => plain(StatusCode::SERVICE_UNAVAILABLE, &e.to_string()),
+        Err(StoreError::NoAnswer) => abort(),
+        result => json(StatusCode::OK, &result),
+    }
+}
--- a/crates/standins/src/searcher.rs
+++ b/crates/standins/src/searcher.rs
@@ -6,7 +6,7 @@
 use heatherrun_fakes::searcher::Searcher;
 use heatherrun_kernel::message::{CallError, CallKind, Failure, TargetCall};
 use heatherrun_kernel::{CallId, Epoch, MapRev, ServiceId, ShardIx, Snapshot, TargetId};
-use heatherrun_ports::http_reply::{Reply, respond};
+use heatherrun_ports::http_reply::{Reply, abort, respond};
 use heatherrun_ports::http_server::{self, Limits, Phase, Received};
 use heatherrun_ports::target::name_failure;
 use heatherrun_ports::wire;
@@ -19,23 +19,26 @@
 
 type Running = Arc<Mutex<HashMap<String, oneshot::Sender<()>>>>;
 
-/// Serves `searcher` until the phase is [`Phase::Close`].
-pub async fn serve(listener: TcpListener, searcher: Searcher, phase: watch::Receiver<Phase>) {
+/// Serves `searcher` on at most `connections` connections until the phase is
+/// [`Phase::Close`]. A call that the searcher loses closes its connection.
+pub async fn serve(
+    listener: TcpListener,
+    searcher: Searcher,
+    connections: usize,
+    phase: watch::Receiver<Phase>,
+) {
+    let mut limits = Limits::new(BODY_BYTES);
+    limits.connections = connections;
     let running = Running::default();
-    http_server::serve(
-        listener,
-        Limits::new(BODY_BYTES),
-        phase,
-        move |received, _| {
-            let (searcher, running) = (searcher.clone(), Arc::clone(&running));
-            async move {
-                match received {
-                    Ok(received) => answer(&searcher, &running, received).await,
-                    Err(fault) => fault.reply(),
-                }
+    http_server::serve(listener, limits, phase, move |received, _| {
+        let (searcher, running) = (searcher.clone(), Arc::clone(&running));
+        async move {
+            match received {
+                Ok(received) => answer(&searcher, &running, received).await,
+                Err(fault) => fault.reply(),
             }
-        },
-    )
+        }
+    })
     .await;
 }
 
@@ -74,6 +77,10 @@
             StatusCode::OK,
             wire::encode_reply(reply).unwrap_or_default().into(),
         ),
+        Err(CallError {
+            failure: Failure::ConnectionLost | Failure::TimedOut,
+            ..
+        }) => return abort(),
         Err(error) => refuse(error),
     };
     if let Ok(value) = id.parse() {
