--- a/crates/tier/src/entry.rs
+++ b/crates/tier/src/entry.rs
@@ -26,6 +26,7 @@
 use crate::claim::OnceServed;
 use crate::drive::{self, Drive};
 use crate::once::Once;
+use crate::outcome::{Early, Ended, Outcomes, SHED};
 use crate::owner::Owner;
 use crate::refuse;
 use crate::request::{self, Request};
@@ -71,6 +72,7 @@
     pub(crate) admission: Admission,
     shared: ArcSwap<HashMap<ServiceId, Arc<Shared>>>,
     traces: Traces,
+    outcomes: Outcomes,
     once: Once,
     run: u64,
     seq: AtomicU64,
@@ -103,6 +105,7 @@
             shared: ArcSwap::default(),
             admission: Admission::new(PLACES),
             traces: Traces::default(),
+            outcomes: Outcomes::default(),
             run: me.0 ^ run,
             seq: AtomicU64::new(1),
         })
@@ -114,6 +117,12 @@
         &self.once
     }
 
+    /// What requests came to.
+    #[must_use]
+    pub const fn outcomes(&self) -> &Outcomes {
+        &self.outcomes
+    }
+
     /// Traces of recent queries.
     #[must_use]
     pub const fn traces(&self) -> &Traces {
@@ -211,6 +220,13 @@
     /// Admits a request and runs it.
     async fn serve(&self, mut request: Request) -> Result<Served, Refused> {
         let Some(_place) = self.admission.enter(request.class) else {
+            self.outcomes.refused_early(&Early {
+                now: self.clock.now(),
+                service: &request.service,
+                id: &request.trace,
+                kind: SHED,
+                ran: Ran::NotRun,
+            });
             let detail = "this node is at its limit for the class";
             let mut refused = refuse::not_run("overloaded", detail, "come again after retry_ms");
             refused.retry_ms = refuse::RETRY_MS;
@@ -234,11 +250,25 @@
 
     /// Runs an admitted request to its verdict.
     pub(crate) async fn run(&self, id: QueryId, request: &Request) -> Result<Served, Refused> {
+        log::debug!(
+            id = request.trace.as_str(), service = request.service.name.as_str();
+            "request.admitted"
+        );
         let mut drive = Drive::new(self, id, self.run ^ id.seq, request);
         let verdict = drive.run().await;
         let attempts = drive.attempts();
-        self.traces.keep(drive.explain());
+        let trace = drive.explain();
         drop(drive);
+        let now = self.clock.now();
+        self.outcomes.ended(&Ended {
+            now,
+            took: now.since(request.start),
+            service: &request.service,
+            view: &self.view.load(),
+            verdict: &verdict,
+            trace: &trace,
+        });
+        self.traces.keep(trace);
         let name = request.trace.clone();
         let overloaded = drive::is_overload(&verdict);
         self.admission.note(self.clock.now(), overloaded);
