--- a/crates/ports/src/operator.rs
+++ b/crates/ports/src/operator.rs
@@ -4,7 +4,7 @@
 
 use heatherrun_schema::{CallError, v1};
 use heatherrun_tier::node::Node;
-use http::StatusCode;
+use http::{Method, StatusCode};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -30,6 +30,12 @@
                     Ok(received) => received,
                     Err(fault) => return fault.reply(),
                 };
+                if received.head.method != Method::POST {
+                    return plain(
+                        StatusCode::METHOD_NOT_ALLOWED,
+                        "send operator calls by POST",
+                    );
+                }
                 let path = received.head.uri.path();
                 let call = path.strip_prefix(PATH).unwrap_or(path);
                 match v1::dispatch(node.as_ref(), call, &received.body).await {
