--- a/crates/bench/benches/wire/shapes.rs
+++ b/crates/bench/benches/wire/shapes.rs
@@ -55,6 +55,7 @@
         ..Settings::default()
     };
     let mut stand_ins = LocalTier::start().await?;
+    stand_ins.fenced = false;
     let service = stand_ins
         .add_spread(SERVICE, SHARDS, &DOMAINS, &settings)
         .await?;
--- a/crates/standins/src/local.rs
+++ b/crates/standins/src/local.rs
@@ -16,6 +16,7 @@
 use tokio::task::JoinHandle;
 
 use crate::node::{LocalNode, NodeSpec};
+use crate::searcher::Intake;
 
 /// Any free loopback port.
 const ANY: &str = "127.0.0.1:0";
@@ -39,6 +40,20 @@
     /// # Errors
     /// When no port is free.
     pub async fn start(name: &str, domain: &str, settings: Settings) -> anyhow::Result<Self> {
+        Self::start_fenced(name, domain, settings, true).await
+    }
+
+    /// Starts a searcher that refuses calls of an older epoch than it has
+    /// seen only when it is `fenced`.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub async fn start_fenced(
+        name: &str,
+        domain: &str,
+        settings: Settings,
+        fenced: bool,
+    ) -> anyhow::Result<Self> {
         let listener = TcpListener::bind(ANY).await?;
         let config = v1::Searcher {
             name: name.to_owned(),
@@ -49,8 +64,11 @@
         };
         let searcher = Searcher::new(settings);
         let (stop, stopped) = watch::channel(Phase::Serve);
-        let most = config.connections as usize;
-        let serving = crate::searcher::serve(listener, searcher.clone(), most, stopped);
+        let intake = Intake {
+            connections: config.connections as usize,
+            fenced,
+        };
+        let serving = crate::searcher::serve(listener, searcher.clone(), intake, stopped);
         Ok(Self {
             searcher,
             config,
@@ -77,6 +95,9 @@
     pub nodes: Vec<LocalNode>,
     /// Threads of each node that is started from now on.
     pub threads: usize,
+    /// Whether searchers started from now on refuse older epochs; those that
+    /// several tiers share cannot.
+    pub fenced: bool,
     /// Seconds that callers may keep an address answer of such a node.
     pub keep_secs: u32,
     _stop: watch::Sender<Phase>,
@@ -99,6 +120,7 @@
             searchers: Vec::new(),
             nodes: Vec::new(),
             threads: 1,
+            fenced: true,
             keep_secs: KEEP_SECS,
             _stop: stop,
         })
@@ -177,7 +199,7 @@
         mut settings: Settings,
     ) -> anyhow::Result<v1::Searcher> {
         settings.seed += self.searchers.len() as u64;
-        let searcher = LocalSearcher::start(label, domain, settings).await?;
+        let searcher = LocalSearcher::start_fenced(label, domain, settings, self.fenced).await?;
         let config = searcher.config.clone();
         self.searchers.push(searcher);
         Ok(config)
