Good and all counts of a minute move as one

Cause: good and total were two atomics, so a request counted between the two takes of a new minute left a good event without its total, and the next minute showed a bad event that never was. Change: both halves of one atomic.

--- a/crates/report/src/recorder.rs
+++ b/crates/report/src/recorder.rs
@@ -66,29 +66,33 @@
     pub cause: String,
 }
 
-/// Counts of one objective in the present minute.
+/// Counts of one objective in the present minute: the good ones in the upper
+/// half, all in the lower half, so that both move at once.
 #[derive(Debug, Default)]
-struct Live {
-    good: AtomicU64,
-    total: AtomicU64,
-}
+struct Live(AtomicU64);
+
+/// Bits of the lower half.
+const HALF: u32 = 32;
 
 impl Live {
     fn add(&self, good: bool) {
-        self.good.fetch_add(u64::from(good), Ordering::Relaxed);
-        self.total.fetch_add(1, Ordering::Relaxed);
+        let both = u64::from(good) << HALF | 1;
+        self.0.fetch_add(both, Ordering::Relaxed);
     }
 
     fn read(&self) -> Counts {
-        let good = self.good.load(Ordering::Relaxed);
-        let total = self.total.load(Ordering::Relaxed);
-        Counts { good, total }
+        split(self.0.load(Ordering::Relaxed))
     }
 
     fn take(&self) -> Counts {
-        let good = self.good.swap(0, Ordering::Relaxed);
-        let total = self.total.swap(0, Ordering::Relaxed);
-        Counts { good, total }
+        split(self.0.swap(0, Ordering::Relaxed))
+    }
+}
+
+const fn split(both: u64) -> Counts {
+    Counts {
+        good: both >> HALF,
+        total: both & (u32::MAX as u64),
     }
 }
 
--- a/crates/report/tests/burn.rs
+++ b/crates/report/tests/burn.rs
@@ -1,5 +1,6 @@
 //! Burn counted, turned into rates, merged and judged.
 
+use std::sync::Barrier;
 use std::time::Duration;
 
 use heatherrun_kernel::registry::{self, PluginKind};
@@ -195,6 +196,34 @@
     assert_eq!(alerts(&good.burn(at_minute(0), &service(true))), []);
 }
 
+#[test]
+fn record_from_threads_loses_nothing() {
+    const THREADS: usize = 4;
+    const MINUTES: u64 = 4_000;
+    const EACH: u64 = 20;
+    let recorder = Recorder::default();
+    let service = service(true);
+    let barrier = Barrier::new(THREADS);
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                for n in 0..MINUTES * EACH {
+                    // All threads reach a new minute together.
+                    if n % EACH == 0 {
+                        barrier.wait();
+                    }
+                    recorder.record(at_minute(n / EACH), &service, answered(1, true));
+                }
+            });
+        }
+    });
+    let burn = recorder.burn(at_minute(MINUTES), &service);
+    let window = find(&burn, "latency", 259_200);
+    let all = 4 * MINUTES * EACH;
+    assert_eq!((window.good, window.total), (all, all));
+    assert_eq!(burn.series[0].good, burn.series[0].total);
+}
+
 #[test]
 fn merge_adds_nodes() {
     let mut sum = v1::BurnAnswer::default();
