--- a/crates/cli/src/local.rs
+++ b/crates/cli/src/local.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context as _, Result};
 use heatherrun_kernel::registry;
-use heatherrun_report::Table;
+use heatherrun_report::plugins;
 use heatherrun_settings::{Checked, Settings};
 use serde::Serialize;
 
@@ -53,11 +53,5 @@
         about: p.about,
     };
     let all: Vec<_> = registry::plugins().into_iter().map(listed).collect();
-    print(&all, json, |all| {
-        let mut table = Table::new(&["kind", "name", "about"]);
-        for plugin in all {
-            table.row([plugin.kind, plugin.name, plugin.about]);
-        }
-        table.to_string()
-    })
+    print(&all, json, |_| plugins::table())
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,6 +7,7 @@
 
 use anyhow::Context as _;
 use heatherrun_daemon::{logging, metrics};
+use heatherrun_report::plugins;
 use heatherrun_schema::v1::NodeSettings;
 
 /// Exit code when the settings hold a fault.
@@ -19,14 +20,24 @@
 struct Arguments {
     /// settings file of this node, in JSON with comments
     #[argh(positional)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+    /// list the plug-ins linked into this program, and end
+    #[argh(switch)]
+    plugins: bool,
 }
 
 #[tokio::main]
 async fn main() -> anyhow::Result<ExitCode> {
     let arguments: Arguments = argh::from_env();
-    let file = arguments.settings.display().to_string();
-    let text = fs::read_to_string(&arguments.settings)
+    if arguments.plugins {
+        print!("{}", plugins::table());
+        return Ok(ExitCode::SUCCESS);
+    }
+    let path = arguments
+        .settings
+        .context("no settings file; name one, or see heatherrund --help")?;
+    let file = path.display().to_string();
+    let text = fs::read_to_string(&path)
         .with_context(|| format!("cannot read {file}; name a readable settings file"))?;
     match heatherrun_settings::read_node(&file, &text) {
         Ok(checked) => run(checked.value).await,
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -4,13 +4,22 @@
 
 use anyhow::Context as _;
 use heatherrun_kernel::message::NodeInfo;
+use heatherrun_kernel::registry;
 use heatherrun_kernel::{Clock, DomainId, NodeId};
 use heatherrun_ports::serving::{Listeners, Serving};
-use heatherrun_ports::{peer_client, platform, target};
 use heatherrun_schema::v1::NodeSettings;
 use heatherrun_tier::node::Node;
 use tokio::net::TcpListener;
 
+/// Plug-in that sends calls to targets.
+const TARGETS: &str = "http";
+
+/// Plug-in that sends messages to other nodes.
+const PEERS: &str = "tarpc";
+
+/// Plug-in that reaches the platform.
+const PLATFORM: &str = "http";
+
 /// Starts the node that `settings` describe.
 ///
 /// # Errors
@@ -25,9 +34,9 @@
     let node = Node::new(
         info,
         Clock::start(),
-        target::targets(),
-        peer_client::peers(),
-        platform::platform(parse(&settings.platform, "platform")?),
+        registry::targets(TARGETS)?(),
+        registry::peers(PEERS)?(),
+        registry::platform(PLATFORM)?(parse(&settings.platform, "platform")?),
         settings.address_secs,
     );
     let serving = Serving::start(Arc::clone(&node), listeners);
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod objective;
 pub mod page;
 mod plot;
+pub mod plugins;
 pub mod recorder;
 pub mod table;
 pub mod text;
--- /dev/null
+++ b/crates/report/src/plugins.rs
@@ -0,0 +1,15 @@
+//! The plug-ins linked into a program, as a table.
+
+use heatherrun_kernel::registry;
+
+use crate::table::Table;
+
+/// Kind, name and purpose of each plug-in.
+#[must_use]
+pub fn table() -> String {
+    let mut table = Table::new(&["kind", "name", "about"]);
+    for plugin in registry::plugins() {
+        table.row([plugin.kind().name(), plugin.name, plugin.about]);
+    }
+    table.to_string()
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -73,7 +73,8 @@
 /// [`SettingsError`] with every fault of the file.
 pub fn read_node(file: &str, text: &str) -> Result<Checked<NodeSettings>, SettingsError> {
     let shaped = shape::read(file, text, FileKind::Node)?;
-    finish(shaped, node::check)
+    let checked = finish(shaped, node::check)?;
+    Ok(checked.map(node::fill))
 }
 
 /// Reads the configuration of a tier from `text`, the content of `file`.
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -16,6 +16,31 @@
 /// Longest graceful shutdown, in seconds.
 const STOP_SECS: u32 = 3_600;
 
+/// Level of a log when the settings name none.
+const LEVEL: &str = "info";
+
+/// Time that callers may keep an address answer when the settings name none,
+/// in seconds.
+const USUAL_ADDRESS_SECS: u32 = 5;
+
+/// Hard limit of a graceful shutdown when the settings name none, in seconds.
+const USUAL_STOP_SECS: u32 = 60;
+
+/// Puts the defaults in place of what was left out.
+pub(crate) fn fill(mut settings: NodeSettings) -> NodeSettings {
+    if settings.log.is_empty() {
+        LEVEL.clone_into(&mut settings.log);
+    }
+    if settings.address_secs == 0 {
+        settings.address_secs = USUAL_ADDRESS_SECS;
+    }
+    if settings.stop_secs == 0 {
+        // Callers come for as long as they may keep an address; then work is finished.
+        settings.stop_secs = USUAL_STOP_SECS.max(settings.address_secs * 2);
+    }
+    settings
+}
+
 pub(crate) fn check(settings: &NodeSettings, out: &mut Shaped) {
     check_name("name", &settings.name, out);
     check_name("domain", &settings.domain, out);
--- a/crates/settings/tests/examples.rs
+++ b/crates/settings/tests/examples.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::Path};
 
 use heatherrun_schema::v1::{self, service::Kind};
-use heatherrun_settings::{Settings, check};
+use heatherrun_settings::{Settings, check, read_node};
 
 fn read(name: &str) -> Settings {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
@@ -66,6 +66,14 @@
     );
 }
 
+#[test]
+fn read_node_fills_defaults() {
+    let text = r#"{"name": "a", "domain": "b", "callers": "10.0.0.1:1", "peers": "10.0.0.1:2",
+        "operators": "10.0.0.1:3", "platform": "10.0.0.2:1", "address_secs": 200}"#;
+    let node = read_node("node.jsonc", text).unwrap().value;
+    assert_eq!((node.log.as_str(), node.stop_secs), ("info", 400));
+}
+
 #[test]
 fn check_node_example() {
     assert!(matches!(read("node.jsonc"), Settings::Node(_)));
