--- a/crates/tier/src/entry.rs
+++ b/crates/tier/src/entry.rs
@@ -26,7 +26,7 @@
 use crate::claim::OnceServed;
 use crate::drive::{self, Drive};
 use crate::once::Once;
-use crate::outcome::{Early, Ended, Outcomes, SHED};
+use crate::outcome::{self, Early, Ended, Outcomes, SHED};
 use crate::owner::Owner;
 use crate::refuse;
 use crate::request::{self, Request};
@@ -141,7 +141,12 @@
     /// A refusal that says whether any part of the search ran.
     pub async fn search(&self, ask: v1::SearchRequest) -> Result<v1::SearchAnswer, Refused> {
         let start = self.clock.now();
-        let request = request::search(&self.view.load(), start, ask)?;
+        let id = ask.id.clone();
+        let mut request = request::search(&self.view.load(), start, ask);
+        if let Err(refused) = &mut request {
+            outcome::reject(refused, id);
+        }
+        let request = request?;
         let served = self.serve(request).await?;
         let merged = served.merged;
         let missing = |m: &Missing| v1::Missing {
@@ -178,7 +183,11 @@
     ) -> Result<v1::PoolAnswer, Refused> {
         let start = self.clock.now();
         let once = ask.once;
-        let request = request::pooled(&self.view.load(), start, ask);
+        let id = ask.id.clone();
+        let mut request = request::pooled(&self.view.load(), start, ask);
+        if let Err(refused) = &mut request {
+            outcome::reject(refused, id);
+        }
         let mut answer = if once {
             let request = request.map_err(refuse::unknown_before_claim)?;
             self.request_once(request).await?
--- a/crates/tier/src/outcome.rs
+++ b/crates/tier/src/outcome.rs
@@ -266,6 +266,13 @@
     }
 }
 
+/// Names and logs a refusal of a request that holds a fault. It counts
+/// against no objective.
+pub(crate) fn reject(refused: &mut v1::Refusal, id: String) {
+    log::debug!(id = id.as_str(), kind = refused.kind.as_str(); "request.rejected");
+    refused.id = id;
+}
+
 /// Outcome of one call for log lines.
 pub(crate) fn words_of(result: &CallResult) -> String {
     match result {
