--- a/crates/daemon/tests/logging.rs
+++ b/crates/daemon/tests/logging.rs
@@ -1,38 +1,14 @@
 //! Log lines, compared with a text file.
 
-use std::sync::{Arc, Mutex};
+mod common;
 
-use heatherrun_daemon::logging::{KeyValueLayout, bridge, level};
+use common::{Lines, Written};
+use heatherrun_daemon::logging::{bridge, level};
 use log::kv::ToValue;
 use log::{Level, Log as _, Record};
-use logforth::{Append, Diagnostic, Error, Layout as _};
 
 const EXPECTED: &str = include_str!("expected/log.txt");
 
-/// Keeps lines.
-#[derive(Debug)]
-struct Lines {
-    layout: KeyValueLayout,
-    lines: Arc<Mutex<Vec<String>>>,
-}
-
-impl Append for Lines {
-    fn append(
-        &self,
-        record: &logforth::record::Record<'_>,
-        diagnostics: &[Box<dyn Diagnostic>],
-    ) -> Result<(), Error> {
-        let line = self.layout.format(record, diagnostics)?;
-        let line = String::from_utf8(line).unwrap();
-        self.lines.lock().unwrap().push(line);
-        Ok(())
-    }
-
-    fn flush(&self) -> Result<(), Error> {
-        Ok(())
-    }
-}
-
 /// Puts `T` in place of the time, after checking its form.
 fn without_time(line: &str) -> String {
     let words: Vec<_> = line.split(' ').collect();
@@ -48,13 +24,8 @@
 
 #[test]
 fn format_events_match_file() {
-    let lines = Arc::new(Mutex::new(Vec::new()));
-    let log = bridge(Lines {
-        layout: KeyValueLayout {
-            vm: "entry-1".to_owned(),
-        },
-        lines: Arc::clone(&lines),
-    });
+    let lines = Written::default();
+    let log = bridge(Lines::new(&lines));
     let write = |level, event: &str, pairs: &[(&str, log::kv::Value<'_>)]| {
         let mut record = Record::builder();
         record.level(level).key_values(&pairs);
--- a/crates/report/src/page.rs
+++ b/crates/report/src/page.rs
@@ -20,7 +20,8 @@
 }
 
 const RATES: &str = "Burn rate by window; red lines alert, hollow points are covered in part";
-const OVER_TIME: &str = "Burn rate over the last day; the grey line spends the budget exactly";
+const OVER_TIME: &str =
+    "Burn rate over time, a day at the most; the grey line spends the budget exactly";
 
 const STYLE: &str = "
 body { margin: 0; background: #f3f5f8; color: #262d38; font: 15px/1.45 sans-serif; }
@@ -33,7 +34,7 @@
 .plots { display: grid; grid-template-columns: repeat(auto-fit, minmax(480px, 1fr)); gap: 20px; margin-top: 14px; }
 .plots svg { width: 100%; height: auto; display: block; }
 .badge { display: inline-block; margin-left: 10px; padding: 2px 10px; border-radius: 10px; color: #fff; font-size: 13px; }
-.ok { background: #10705d; } .ticket { background: #8a5a00; } .page { background: #ba2026; }
+.ok { background: #10705d; } .idle { background: #5a6675; } .ticket { background: #8a5a00; } .page { background: #ba2026; }
 .alert { margin: 8px 0 0; padding: 6px 12px; border-left: 4px solid #ba2026; background: #fdf1f1; color: #262d38; }
 .key { display: inline-block; margin-right: 18px; }
 .key i { display: inline-block; width: 12px; height: 12px; border-radius: 3px; margin-right: 6px; }
@@ -76,6 +77,7 @@
     let (class, label) = match urgent {
         Some(Urgency::Page) => ("page", "burning fast"),
         Some(Urgency::Ticket) => ("ticket", "burning"),
+        None if service.windows.iter().all(|w| w.total == 0) => ("idle", "no request yet"),
         None if overspent(service) => ("ticket", "budget spent"),
         None => ("ok", "within budget"),
     };
@@ -88,7 +90,7 @@
         let sentence = escape(&text::sentence(alert));
         let _ = writeln!(out, "<p class=\"alert\">{sentence}</p>");
     }
-    let over = units::secs(BUDGET_SECS);
+    let over = covered(service);
     let columns = [
         [
             (
@@ -113,6 +115,18 @@
     out.push_str("</div></section>\n");
 }
 
+/// The budget's window, and how much of it there is data for.
+fn covered(service: &v1::ServiceBurn) -> String {
+    let budget = |w: &&v1::BurnWindow| w.window_secs == BUDGET_SECS;
+    let whole = units::secs(BUDGET_SECS);
+    match service.windows.iter().find(budget) {
+        Some(w) if w.covered_secs < BUDGET_SECS => {
+            format!("{} of {whole}", units::secs(w.covered_secs))
+        }
+        _ => whole,
+    }
+}
+
 fn overspent(service: &v1::ServiceBurn) -> bool {
     let spent = |w: &v1::BurnWindow| w.window_secs == BUDGET_SECS && w.budget_left < 0.0;
     service.windows.iter().any(spent)
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -32,6 +32,15 @@
 /// Lowest burn rate drawn.
 const LEAST_RATE: f64 = 0.01;
 
+/// Shortest time drawn, in seconds.
+const LEAST_SPAN: u64 = 1_800;
+
+/// Time below which minutes are shown, in seconds.
+const SHORT_SPAN: u64 = 10_800;
+
+/// Longest time drawn, in seconds.
+const DAY: u64 = 86_400;
+
 const FONT: &str = "sans-serif";
 const INK: RGBColor = RGBColor(38, 45, 56);
 const MUTED: RGBColor = RGBColor(96, 106, 120);
@@ -168,6 +177,9 @@
             let (Some(ix), true) = (place, window.objective == objective.name()) else {
                 continue;
             };
+            if window.total == 0 {
+                continue;
+            }
             let whole = window.covered_secs >= window.window_secs;
             points.push((as_f64(ix), window.burn_rate.max(LEAST_RATE), whole));
         }
@@ -226,7 +238,12 @@
 }
 
 fn draw_over_time(area: &Area<'_>, burn: &v1::ServiceBurn) -> Drawn {
-    let lines: Vec<_> = burn.series.iter().map(|s| (s, points(s, burn))).collect();
+    let (unit, name, length) = span(burn);
+    let lines: Vec<_> = burn
+        .series
+        .iter()
+        .map(|s| (s, points(s, burn, unit)))
+        .collect();
     let all = lines.iter().flat_map(|(_, points)| points);
     let most = all.filter_map(|(_, y)| *y).fold(2.0, f64::max);
     let mut chart = ChartBuilder::on(area)
@@ -234,10 +251,10 @@
         .margin_right(16)
         .x_label_area_size(36)
         .y_label_area_size(52)
-        .build_cartesian_2d(-24.0..0.0, 0.0..most * 1.1)?;
+        .build_cartesian_2d(-length..0.0, 0.0..most * 1.1)?;
     let ago = |x: &f64| match scaled(-x.round()) {
         0 => "now".to_owned(),
-        hours => format!("{hours}h ago"),
+        units => format!("{units}{name} ago"),
     };
     let labels = Labels {
         ticks: 7,
@@ -246,23 +263,38 @@
         y_desc: "burn rate in 5 minutes",
     };
     mesh(&mut chart, &labels)?;
-    chart.draw_series(LineSeries::new([(-24.0, 1.0), (0.0, 1.0)], MUTED))?;
+    chart.draw_series(LineSeries::new([(-length, 1.0), (0.0, 1.0)], MUTED))?;
     for (series, points) in lines {
         let colour = colour(&series.objective).stroke_width(2);
         for run in points.split(|(_, y)| y.is_none()) {
             let line = run.iter().filter_map(|(x, y)| y.map(|y| (*x, y)));
-            chart.draw_series(LineSeries::new(line, colour))?;
+            let inside = line.filter(|(x, _)| *x >= -length);
+            chart.draw_series(LineSeries::new(inside, colour))?;
         }
     }
     Ok(())
 }
 
-/// Burn rate by hours from now; none where nothing was counted.
-fn points(series: &v1::BurnSeries, burn: &v1::ServiceBurn) -> Vec<(f64, Option<f64>)> {
+/// Unit of time in seconds, its name, and the length of the part of the last
+/// day that is covered, in that unit.
+fn span(burn: &v1::ServiceBurn) -> (f64, &'static str, f64) {
+    let covered = burn.windows.iter().map(|w| w.covered_secs).max();
+    let covered = covered.unwrap_or(0).clamp(LEAST_SPAN, DAY);
+    let (unit, name) = if covered < SHORT_SPAN {
+        (60, "m")
+    } else {
+        (3_600, "h")
+    };
+    (as_secs(unit), name, as_secs(covered) / as_secs(unit))
+}
+
+/// Burn rate by time from now in units of so many seconds; none where
+/// nothing was counted.
+fn points(series: &v1::BurnSeries, burn: &v1::ServiceBurn, unit: f64) -> Vec<(f64, Option<f64>)> {
     let same = |w: &&v1::BurnWindow| w.objective == series.objective;
     let target = burn.windows.iter().find(same).map_or(0, |w| w.target_ppm);
     let spans = series.good.len().min(series.total.len());
-    let step = as_f64(usize::try_from(series.bucket_secs).unwrap_or(0)) / 3_600.0;
+    let step = as_secs(series.bucket_secs) / unit;
     let mut made = Vec::with_capacity(spans);
     for (ix, (good, total)) in series.good.iter().zip(&series.total).enumerate() {
         let counts = Counts {
@@ -312,6 +344,11 @@
     u32::try_from(items).unwrap_or(u32::MAX)
 }
 
+#[allow(clippy::cast_precision_loss)]
+const fn as_secs(secs: u64) -> f64 {
+    secs as f64
+}
+
 #[allow(clippy::cast_precision_loss)]
 const fn as_f64(count: usize) -> f64 {
     count as f64
