A configuration to apply is checked at the node too

Cause: only the client checked it; a raw call without a configuration on the newest revision would have replaced the whole one by nothing. The node now refuses it before it reads the store.

--- a/crates/cli/src/write.rs
+++ b/crates/cli/src/write.rs
@@ -83,7 +83,7 @@
         (true, _) if answer.changes.is_empty() => {
             format!("nothing would change at revision {revision}\n")
         }
-        (true, _) => format!("dry run at revision {revision}: nothing was written\n"),
+        (true, _) => format!("dry run at revision {revision}\n"),
         (false, true) => format!("accepted as revision {revision}\n"),
         (false, false) => format!("refused; the newest revision is {revision}\n"),
     };
--- a/crates/cli/tests/sockets.rs
+++ b/crates/cli/tests/sockets.rs
@@ -132,3 +132,22 @@
     let unknown = run(&tier, "domain out nowhere").await;
     assert_eq!(unknown.exit, Exit::Refused, "{unknown:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn apply_raw_call_is_checked() {
+    let mut tier = LocalTier::start().await.unwrap();
+    tier.add_node("entry-0", DOMAINS[0]).await.unwrap();
+    let node = tier.nodes[0].operators.to_string();
+    let cases = [
+        ("{}", "the request holds no configuration"),
+        (r#"{"config": {}}"#, "domains: no failure domain"),
+        (r#"{"config": {"domans": []}}"#, "unknown field `domans`"),
+    ];
+    for (body, words) in cases {
+        let node = node.clone();
+        let sending = move || transport::send(&node, "Apply", body.as_bytes());
+        let answer = tokio::task::spawn_blocking(sending).await.unwrap();
+        let fault = answer.unwrap_err().to_string();
+        assert!(fault.contains(words), "{body}: {fault}");
+    }
+}
--- a/crates/cli/tests/transcript.rs
+++ b/crates/cli/tests/transcript.rs
@@ -90,10 +90,10 @@
         Ok(v1::ApplyAnswer {
             accepted,
             revision: if accepted { 12 } else { 11 },
-            detail: if accepted || request.dry_run {
-                String::new()
-            } else {
-                format!("based on {}; read and apply again", request.base)
+            detail: match (accepted, request.dry_run) {
+                (true, _) => String::new(),
+                (false, true) => "nothing was written".to_owned(),
+                (false, false) => format!("based on {}; read and apply again", request.base),
             },
             changes: vec!["~ service buyer-desk".to_owned()],
             warnings: vec!["zurich holds one replica".to_owned()],
@@ -111,6 +111,11 @@
             revision: 12,
             changes: vec!["ticino: in -> out".to_owned()],
             warnings: vec!["buyer-desk: 30 of 90 slots leave".to_owned()],
+            detail: if request.dry_run {
+                "nothing was written".to_owned()
+            } else {
+                String::new()
+            },
             ..v1::ApplyAnswer::default()
         })
     }
--- a/crates/ports/src/operator.rs
+++ b/crates/ports/src/operator.rs
@@ -14,6 +14,9 @@
 /// Longest body of an operator's call, in bytes.
 const BODY_BYTES: usize = 8 << 20;
 
+/// Call that writes a configuration.
+const APPLY: &str = "Apply";
+
 /// Path before the name of a call.
 pub const PATH: &str = "/operator/";
 
@@ -32,7 +35,11 @@
                 };
                 let path = received.head.uri.path();
                 let call = path.strip_prefix(PATH).unwrap_or(path);
-                match v1::dispatch(node.as_ref(), call, &received.body).await {
+                let answer = match check(call, &received.body) {
+                    Ok(()) => v1::dispatch(node.as_ref(), call, &received.body).await,
+                    Err(fault) => Err(fault),
+                };
+                match answer {
                     Ok(body) => respond(StatusCode::OK, body.into()),
                     Err(e @ CallError::UnknownCall(_)) => {
                         plain(StatusCode::NOT_FOUND, &e.to_string())
@@ -47,3 +54,17 @@
     )
     .await;
 }
+
+/// Checks a configuration to apply as `heatherrun check` does, since other
+/// clients may not have.
+fn check(call: &str, body: &[u8]) -> Result<(), CallError> {
+    if call != APPLY {
+        return Ok(());
+    }
+    let request: v1::ApplyRequest = heatherrun_schema::decode(body)?;
+    let Some(config) = request.config else {
+        let reason = "the request holds no configuration; send the whole one";
+        return Err(CallError::Refused(reason.to_owned()));
+    };
+    heatherrun_settings::check_tier(&config).map_err(|e| CallError::Refused(e.to_string()))
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -86,6 +86,16 @@
     finish(shaped, tier::check)
 }
 
+/// Checks a configuration that was not read from a file; its faults name the
+/// lines of its JSON form.
+///
+/// # Errors
+/// [`SettingsError`] with every fault.
+pub fn check_tier(config: &TierConfig) -> Result<(), SettingsError> {
+    let text = serde_json::to_string_pretty(config).unwrap_or_default();
+    read_tier("request", &text).map(|_| ())
+}
+
 /// Checks a file of either kind, told apart by its keys.
 ///
 /// # Errors
