--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -10,19 +10,65 @@
 use heatherrun_kernel::port::{
     KeyValue, Platform, StoreCall, StoreError, StoreReply, Vm, async_fn,
 };
+use serde::Deserialize;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Largest value, in bytes.
 const MOST_BYTES: usize = 1 << 20;
 
+/// Reads that the service takes in a second.
+const READS: u64 = 2_000;
+
+/// Writes that the service takes in a second.
+const WRITES: u64 = 300;
+
+/// What goes wrong, as data; nothing by default.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Calls to the key-value service are refused.
+    pub down: bool,
+    /// Reads of the list of VMs are refused.
+    pub list_down: bool,
+    /// Milliseconds that each call takes.
+    pub slow_ms: u64,
+    /// Each call of this count takes effect without an answer; zero for none.
+    pub lose_every: u64,
+    /// Milliseconds by which a watch tells of changes late.
+    pub watch_ms: u64,
+    /// Milliseconds by which the list of VMs lags.
+    pub list_ms: u64,
+    /// Reads a second beyond which calls are refused; zero for the default.
+    pub reads: u64,
+    /// Writes a second beyond which calls are refused; zero for the default.
+    pub writes: u64,
+}
+
+/// Calls made so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Reads of a key, of changes, and waiting watches.
+    pub reads: u64,
+    /// Writes of a key and of leases.
+    pub writes: u64,
+    /// Reads of the list of VMs.
+    pub lists: u64,
+    /// Calls refused, of those above.
+    pub refused: u64,
+}
+
 #[derive(Default)]
 struct State {
     revision: u64,
-    calls: u64,
+    counts: Counts,
+    faults: Faults,
     keys: BTreeMap<String, Entry>,
     leases: BTreeMap<u64, (Instant, Duration)>,
-    vms: Vec<Vm>,
+    /// Lists of VMs with the time from which each is shown.
+    vms: Vec<(Instant, Vec<Vm>)>,
+    /// Second that the rates count for, with its reads and writes.
+    second: Option<(Instant, u64, u64)>,
 }
 
 #[derive(Clone)]
@@ -47,12 +93,39 @@
     /// Calls made so far; a waiting watch is one.
     #[must_use]
     pub fn calls(&self) -> u64 {
-        self.lock().calls
+        let counts = self.counts();
+        counts.reads + counts.writes + counts.lists
+    }
+
+    /// Calls made so far, by kind.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.lock().counts
     }
 
-    /// Sets the VM list.
+    /// Sets what goes wrong from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+        self.changed.notify_waiters();
+    }
+
+    /// Ends all leases at once.
+    pub fn expire_leases(&self) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        for (end, _) in state.leases.values_mut() {
+            *end = now;
+        }
+        state.expire(now);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Sets the VM list; it shows late when that is a fault.
     pub fn set_vms(&self, vms: Vec<Vm>) {
-        self.lock().vms = vms;
+        let mut state = self.lock();
+        let at = Instant::now() + Duration::from_millis(state.faults.list_ms);
+        state.vms.push((at, vms));
     }
 
     /// The port of this store.
@@ -70,33 +143,56 @@
     /// Makes one call.
     ///
     /// # Errors
-    /// [`StoreError::TooLarge`] when a value exceeds the limit.
+    /// [`StoreError::TooLarge`] when a value exceeds the limit, and what the
+    /// faults bring.
     pub async fn call(&self, call: StoreCall) -> Result<StoreReply, StoreError> {
-        self.lock().calls += 1;
-        if let StoreCall::Watch {
-            prefix,
-            after,
-            wait,
-        } = &call
-        {
-            return Ok(self.watch(prefix, *after, *wait).await);
+        let (slow, refused, lost) = self.lock().admit(&call);
+        if !slow.is_zero() {
+            tokio::time::sleep(slow).await;
         }
-        let reply = self.lock().apply(call);
+        if refused {
+            return Err(StoreError::Unavailable);
+        }
+        let reply = match &call {
+            StoreCall::Watch {
+                prefix,
+                after,
+                wait,
+            } => self.watch(prefix, *after, *wait).await,
+            _ => self.lock().apply(call),
+        };
         self.changed.notify_waiters();
+        if lost {
+            return Err(StoreError::NoAnswer);
+        }
         reply
     }
 
-    async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> StoreReply {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<StoreReply, StoreError> {
         let end = Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            let found = self.lock().changes(prefix, after);
+            let (faults, found) = {
+                let mut state = self.lock();
+                (state.faults, state.changes(prefix, after))
+            };
+            if faults.down {
+                return Err(StoreError::NoAnswer);
+            }
             if let StoreReply::Changes(keys, _) = &found
                 && (!keys.is_empty() || Instant::now() >= end)
             {
-                return found;
+                if !wait.is_zero() {
+                    tokio::time::sleep(Duration::from_millis(faults.watch_ms)).await;
+                }
+                return Ok(found);
             }
             let _ = tokio::time::timeout_at(end, changed).await;
         }
@@ -104,6 +200,58 @@
 }
 
 impl State {
+    /// Counts a call; tells how long it takes, whether it is refused and
+    /// whether its answer is lost.
+    fn admit(&mut self, call: &StoreCall) -> (Duration, bool, bool) {
+        let faults = self.faults;
+        let counts = &mut self.counts;
+        let (refused, lost) = match call {
+            StoreCall::Vms => {
+                counts.lists += 1;
+                (faults.list_down, false)
+            }
+            StoreCall::Get { .. } | StoreCall::Watch { .. } => {
+                counts.reads += 1;
+                (faults.down || self.exceeds(1, 0), self.loses())
+            }
+            _ => {
+                counts.writes += 1;
+                (faults.down || self.exceeds(0, 1), self.loses())
+            }
+        };
+        self.counts.refused += u64::from(refused);
+        (Duration::from_millis(faults.slow_ms), refused, lost)
+    }
+
+    fn loses(&self) -> bool {
+        let every = self.faults.lose_every;
+        every > 0 && (self.counts.reads + self.counts.writes).is_multiple_of(every)
+    }
+
+    /// Counts towards the rates of this second.
+    fn exceeds(&mut self, reads: u64, writes: u64) -> bool {
+        let now = Instant::now();
+        let second = self.second.get_or_insert((now, 0, 0));
+        if now.duration_since(second.0) >= Duration::from_secs(1) {
+            *second = (now, 0, 0);
+        }
+        second.1 += reads;
+        second.2 += writes;
+        let rate = |set: u64, default: u64| if set == 0 { default } else { set };
+        second.1 > rate(self.faults.reads, READS) || second.2 > rate(self.faults.writes, WRITES)
+    }
+
+    /// The newest list of VMs that shows already.
+    fn list(&mut self) -> Vec<Vm> {
+        let now = Instant::now();
+        let shown = self.vms.iter().rposition(|(at, _)| *at <= now);
+        if let Some(shown) = shown {
+            self.vms.drain(..shown);
+        }
+        let first = self.vms.first().filter(|(at, _)| *at <= now);
+        first.map(|(_, vms)| vms.clone()).unwrap_or_default()
+    }
+
     fn apply(&mut self, call: StoreCall) -> Result<StoreReply, StoreError> {
         self.expire(Instant::now());
         Ok(match call {
@@ -133,7 +281,7 @@
                 self.drop_keys(lease);
                 StoreReply::NoLease
             }
-            StoreCall::Vms => StoreReply::Vms(self.vms.clone()),
+            StoreCall::Vms => StoreReply::Vms(self.list()),
         })
     }
 
--- a/crates/matrix/src/cell.rs
+++ b/crates/matrix/src/cell.rs
@@ -184,7 +184,11 @@
 
 /// All cells, in the order of the steps.
 pub fn cells() -> impl Iterator<Item = Cell> {
-    let row = |step| Fault::ALL.into_iter().map(move |fault| Cell { step, fault });
+    let row = |step| {
+        Fault::ALL
+            .into_iter()
+            .map(move |fault| Cell { step, fault })
+    };
     Step::ALL.into_iter().flat_map(row)
 }
 
--- a/crates/matrix/src/promise.rs
+++ b/crates/matrix/src/promise.rs
@@ -88,7 +88,10 @@
     check(Promise::Once, ran_twice(records));
     check(Promise::Leaving, work_on_leaving(records));
     check(Promise::Graceful, cut_request(records, after));
-    check(Promise::Config, reverted(records).or_else(|| not_in_force(records, after)));
+    check(
+        Promise::Config,
+        reverted(records).or_else(|| not_in_force(records, after)),
+    );
     let whole = (!after.recovered).then(|| "searches not whole at the end".to_owned());
     check(Promise::Recovery, whole);
     broken
@@ -106,7 +109,10 @@
     for (text, answer) in answers(records) {
         let label = format!("@{}", answer.snapshot);
         if let Some(lot) = answer.lots.iter().find(|lot| !lot.id.ends_with(&label)) {
-            return Some(format!("{text}: lot {} in snapshot {}", lot.id, answer.snapshot));
+            return Some(format!(
+                "{text}: lot {} in snapshot {}",
+                lot.id, answer.snapshot
+            ));
         }
     }
     None
@@ -157,9 +163,8 @@
     out: Time,
     concerned: impl Fn(TargetId, DomainId) -> bool,
 ) -> Option<String> {
-    let late = |run: &&crate::journal::Run| {
-        run.at > out + OUT_TIME && concerned(run.target, run.domain)
-    };
+    let late =
+        |run: &&crate::journal::Run| run.at > out + OUT_TIME && concerned(run.target, run.domain);
     let run = records.runs.iter().find(late)?;
     Some(format!("{} sent at {} after {out}", run.text, run.at))
 }
@@ -246,7 +251,10 @@
                 .map(|s| s.revision)
                 .next();
             if last.is_none_or(|revision| revision < accepted.revision) {
-                return Some(format!("node {node} at {last:?}, not {}", accepted.revision));
+                return Some(format!(
+                    "node {node} at {last:?}, not {}",
+                    accepted.revision
+                ));
             }
         }
     }
