--- a/crates/tier/src/operate/mod.rs
+++ b/crates/tier/src/operate/mod.rs
@@ -41,12 +41,12 @@
         config::history(self, request.from).await
     }
 
-    async fn burn(&self, _: v1::BurnRequest) -> Result<v1::BurnAnswer, CallError> {
-        Err(refused("burn is not served by this version"))
+    async fn burn(&self, request: v1::BurnRequest) -> Result<v1::BurnAnswer, CallError> {
+        self.burn_answer(&request)
     }
 
-    async fn marks(&self, _: v1::MarksRequest) -> Result<v1::MarksAnswer, CallError> {
-        Err(refused("marks are not served by this version"))
+    async fn marks(&self, request: v1::MarksRequest) -> Result<v1::MarksAnswer, CallError> {
+        self.marks_answer(&request)
     }
 }
 
