A leader no longer beats to itself without pause while a released unit still runs calls

Cause: each answer with grants woke the beat loop at once; while a call on a released unit ran, every beat told of the unit, so every answer brought grants again: a loop without any time passing. Seen in the fault matrix as cells that never ended (node-pause and drain at most steps); ruled out: store and peer faults. Conclusion: waking a loop from its own answer needs a pause between.

--- a/crates/matrix/src/run.rs
+++ b/crates/matrix/src/run.rs
@@ -125,7 +125,7 @@
         Step::RightTaken => {
             world.add_node();
         }
-        Step::RightReleased => world.drain(3),
+        Step::RightReleased => world.drain(1),
         Step::RightRenewed => {}
         _ => change_limits(world, cell).await,
     }
--- a/crates/tier/src/control/beats.rs
+++ b/crates/tier/src/control/beats.rs
@@ -150,7 +150,9 @@
             term: if lost { Epoch(0) } else { term },
             seen,
         });
-        if answer.tell || (more && !leads) {
+        // The leader frees a unit once a beat no longer tells of it.
+        let moved = answer.grants.is_some() || !self.rights.load().ending.is_empty();
+        if answer.tell || moved || (more && !leads) {
             return SOON;
         }
         if leads {
@@ -169,7 +171,6 @@
             self.close_records(state, &rights, grants);
             rights.take(now, grants, unix);
             rights.until = until;
-            self.beat.notify_one();
         } else if !answer.tell {
             rights.extend(now, until, unix);
         }
