--- a/crates/policy/src/query.rs
+++ b/crates/policy/src/query.rs
@@ -25,6 +25,9 @@
 /// Shards asked at the same time before the search is proven.
 const MOST_FIRST: usize = 2;
 
+/// Time after which a hedge that could not be sent is tried again.
+const HEDGE_AGAIN: Duration = Duration::from_millis(5);
+
 /// Hedge delays after which an answer with enough coverage waits no longer
 /// for a shard.
 const PATIENCE: u32 = 4;
@@ -193,6 +196,11 @@
         if self.probing {
             first = cx.rng.random_range(0..count);
         }
+        // Two first replies could come from two snapshots.
+        let mut most = self.most_open(cx);
+        if self.snapshot == Snapshot(0) {
+            most = most.min(self.open() + 1);
+        }
         for step in 0..count {
             let shard = (first + step) % count;
             if !self.slots[shard].is_held() {
@@ -202,7 +210,7 @@
             if !sent && cx.level != Level::Banned {
                 self.pause(shard, now, cx);
             }
-            if self.probing && self.open() >= self.most_open(cx) {
+            if self.probing && self.open() >= most {
                 return;
             }
         }
@@ -544,8 +552,7 @@
         }
         let off = cx.budget.is_overloaded() || !self.has_idle(shard, now, cx);
         if off || !cx.budget.spend() {
-            let delay = cx.hedges.delay(index(shard), self.spec.hedge);
-            self.slots[shard].hedge = Some(now + delay);
+            self.slots[shard].hedge = Some(now + HEDGE_AGAIN);
             return;
         }
         if !self.send(shard, Reason::Hedge, now, cx, actions) {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -73,7 +73,8 @@
 /// [`SettingsError`] with every fault of the file.
 pub fn read_node(file: &str, text: &str) -> Result<Checked<NodeSettings>, SettingsError> {
     let shaped = shape::read(file, text, FileKind::Node)?;
-    finish(shaped, node::check)
+    let checked = finish(shaped, node::check)?;
+    Ok(checked.map(node::fill))
 }
 
 /// Reads the configuration of a tier from `text`, the content of `file`.
@@ -85,6 +86,16 @@
     finish(shaped, tier::check)
 }
 
+/// Checks a configuration that was not read from a file; its faults name the
+/// lines of its JSON form.
+///
+/// # Errors
+/// [`SettingsError`] with every fault.
+pub fn check_tier(config: &TierConfig) -> Result<(), SettingsError> {
+    let text = serde_json::to_string_pretty(config).unwrap_or_default();
+    read_tier("request", &text).map(|_| ())
+}
+
 /// Checks a file of either kind, told apart by its keys.
 ///
 /// # Errors
