A leaving target is not tried again while it leaves

Cause: one call tried a draining target after 10 s, to see whether it was back; the fault matrix saw it as new work on a leaving target. Change: the try waits for a change of its configuration or a minute.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -14,11 +14,12 @@
 /// Calls that may wait at a target with a small limit.
 const LEAST_QUEUE: usize = 4;
 
-/// Time after which a draining target is tried with one call.
-const DRAIN_PROBE: Duration = Duration::from_secs(10);
+/// Time after which a draining target is tried with one call. By then one
+/// that leaves is gone, and one that answers was started again.
+const DRAIN_PROBE: Duration = Duration::from_mins(1);
 
 /// Longest time between two such tries.
-const MOST_PROBE: Duration = Duration::from_secs(80);
+const MOST_PROBE: Duration = Duration::from_mins(8);
 
 /// A call that asks for a place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -110,8 +111,12 @@
         self.share = share;
     }
 
-    /// Takes bounds as configured anew; what is in flight stays counted.
+    /// Takes bounds as configured anew; what is in flight stays counted. A
+    /// target that drained is tried again.
     pub fn rebound(&mut self, bounds: Bounds) {
+        if self.drain.take().is_some() {
+            self.limit.turn_cold();
+        }
         self.limit.rebound(bounds.slots, bounds.most);
     }
 
