--- a/crates/bench/benches/wire/main.rs
+++ b/crates/bench/benches/wire/main.rs
@@ -6,6 +6,7 @@
 mod linear;
 mod load;
 mod shapes;
+mod unpooled;
 mod usage;
 
 use std::net::SocketAddr;
@@ -17,7 +18,7 @@
 use heatherrun_ports::http_server::Phase;
 use heatherrun_schema::v1::{self, Operator};
 use heatherrun_standins::local::LocalTier;
-use heatherrun_standins::node::NODE_THREAD;
+use heatherrun_standins::node::{NODE_THREAD, PortsFn, pooled_ports};
 use load::{Load, Run};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -44,6 +45,9 @@
 /// Searches held open to measure the memory of a busy connection.
 const BUSY: usize = 64;
 
+/// Service time of searchers meanwhile.
+const BUSY_TIME: Duration = Duration::from_secs(1);
+
 /// Times by which the tier must be cheaper than the baseline.
 const CHEAPER: f64 = 5.0;
 
@@ -64,9 +68,11 @@
     nodes: usize,
     threads: usize,
     service: &v1::Service,
+    ports: PortsFn,
 ) -> anyhow::Result<LocalTier> {
     let mut tier = LocalTier::start().await?;
     tier.threads = threads;
+    tier.ports = ports;
     for n in 0..nodes {
         tier.add_node(&format!("entry-{n}"), DOMAINS[n % DOMAINS.len()])
             .await?;
@@ -101,8 +107,13 @@
     }
 }
 
-async fn measure(nodes: usize, threads: usize, service: &v1::Service) -> anyhow::Result<Run> {
-    let tier = tier(nodes, threads, service).await?;
+async fn measure(
+    nodes: usize,
+    threads: usize,
+    service: &v1::Service,
+    ports: PortsFn,
+) -> anyhow::Result<Run> {
+    let tier = tier(nodes, threads, service, ports).await?;
     let addresses: Vec<_> = tier.nodes.iter().map(|n| n.callers).collect();
     load::run(&load_on(addresses.clone(), WARM_UP, NODE_THREAD)).await;
     Ok(load::run(&load_on(addresses, SEARCHES, NODE_THREAD)).await)
@@ -189,49 +200,59 @@
         .map(|s| s.config.address.parse())
         .collect::<Result<_, _>>()?;
     println!("wire: {SHARDS} searcher calls a query, {WIDTH} queries at a time\n");
+    memory(&service, &stand_ins).await?;
     println!(
-        "{:<28} {:>5} {:>9} {:>12} {:>12} {:>14} {:>9}",
+        "\n{:<28} {:>5} {:>9} {:>12} {:>12} {:>14} {:>9}",
         "run", "nodes", "queries/s", "cpu us/query", "cpu us/call", "calls/s a core", "whole"
     );
-    let linear = measure_linear(searchers).await?;
-    print_run("linear, 1 thread", 1, &linear);
-    let one = measure(1, 1, &service).await?;
+    let direct = measure_linear(searchers).await?;
+    print_run("direct linear, 1 thread", 1, &direct);
+    let one = measure(1, 1, &service, pooled_ports).await?;
     print_run("tier, 1 thread", 1, &one);
-    let four = measure(1, 4, &service).await?;
+    let four = measure(1, 4, &service, pooled_ports).await?;
     print_run("tier, 4 threads", 1, &four);
-    if std::env::args().any(|a| a == "--short") {
-        return Ok(());
-    }
-    let three = measure(3, 1, &service).await?;
+    let linear = measure(3, 1, &service, unpooled::ports).await?;
+    print_run("linear, 3 nodes of 1 thread", 3, &linear);
+    let three = measure(3, 1, &service, pooled_ports).await?;
     print_run("tier, 3 nodes of 1 thread", 3, &three);
 
-    let ratio = linear.cpu_micros() / one.cpu_micros();
     let calls = f64::from(SHARDS) * 1e6 / one.cpu_micros();
-    println!("\nbaseline/tier cpu a query    {ratio:.1} (target {CHEAPER:.0})");
-    println!("searcher calls/s a core      {calls:.0} (target {CALLS_PER_CORE:.0})");
-    let batch = (three.cpu_micros() - one.cpu_micros()) / 2.0;
-    println!("cpu of a batch to a peer     {batch:.0} us, both sides");
-
-    let tier = tier(1, 1, &service).await?;
-    let address = tier.nodes[0].callers;
-    load::run(&load_on(vec![address], WARM_UP, NODE_THREAD)).await;
+    let ratio = |base: &Run, tier: &Run| base.cpu_micros() / tier.cpu_micros();
+    println!();
     println!(
-        "memory, idle connection      {} B",
-        idle_bytes(address).await?
+        "linear / tier, 3 nodes        {:.1} (target {CHEAPER:.0})",
+        ratio(&linear, &three)
     );
-    for searcher in &stand_ins.searchers {
-        searcher
-            .searcher
-            .change(|s| s.service = Duration::from_secs(1));
-    }
     println!(
-        "memory, busy connection      {} B",
-        busy_bytes(address).await
+        "direct linear / tier, 1 node  {:.1} (target {CHEAPER:.0})",
+        ratio(&direct, &one)
     );
-    drop(tier);
+    println!("searcher calls/s a core       {calls:.0} (target {CALLS_PER_CORE:.0})");
+    let batch = (three.cpu_micros() - one.cpu_micros()) / 2.0;
+    println!("cpu of a batch to a peer      {batch:.0} us, both sides");
     shapes::print().await
 }
 
+/// Prints the memory of connections, before anything else has grown the heap.
+async fn memory(service: &v1::Service, stand_ins: &LocalTier) -> anyhow::Result<()> {
+    let tier = tier(1, 1, service, pooled_ports).await?;
+    let address = tier.nodes[0].callers;
+    load::run(&load_on(vec![address], WARM_UP, NODE_THREAD)).await;
+    let idle = idle_bytes(address).await?;
+    println!("memory, idle connection       {idle} B");
+    set_service(stand_ins, BUSY_TIME);
+    let busy = busy_bytes(address).await;
+    println!("memory, busy connection       {busy} B");
+    set_service(stand_ins, Duration::ZERO);
+    Ok(())
+}
+
+fn set_service(stand_ins: &LocalTier, service: Duration) {
+    for local in &stand_ins.searchers {
+        local.searcher.change(|s| s.service = service);
+    }
+}
+
 fn main() -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(4)
--- a/crates/bench/benches/wire/shapes.rs
+++ b/crates/bench/benches/wire/shapes.rs
@@ -8,7 +8,7 @@
 use heatherrun_fakes::searcher::Settings;
 use heatherrun_schema::v1;
 use heatherrun_standins::local::LocalTier;
-use heatherrun_standins::node::NODE_THREAD;
+use heatherrun_standins::node::{NODE_THREAD, pooled_ports};
 
 use crate::load::{self, Load};
 use crate::{DOMAINS, tier, usage};
@@ -61,11 +61,11 @@
         .await?;
     let mut tiers = Vec::new();
     match shape {
-        Shape::Owners => tiers.push(tier(ENTRIES as usize, 1, &service).await?),
+        Shape::Owners => tiers.push(tier(ENTRIES as usize, 1, &service, pooled_ports).await?),
         Shape::Direct | Shape::Shares => {
             let part = if shape == Shape::Shares { ENTRIES } else { 1 };
             for _ in 0..ENTRIES {
-                tiers.push(tier(1, 1, &divided(service.clone(), part)).await?);
+                tiers.push(tier(1, 1, &divided(service.clone(), part), pooled_ports).await?);
             }
         }
     }
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -94,9 +94,19 @@
 #[derive(Default)]
 pub struct Client {
     pools: ArcSwap<HashMap<SocketAddr, Arc<Pool>>>,
+    unkept: bool,
 }
 
 impl Client {
+    /// Client that closes each connection after its first reply.
+    #[must_use]
+    pub fn unkept() -> Self {
+        Self {
+            unkept: true,
+            ..Self::default()
+        }
+    }
+
     /// Sends a request over an idle connection or a new one, and reads the
     /// whole reply. The connection is kept only if `own` finds that the reply
     /// belongs to the request.
@@ -123,7 +133,9 @@
                     if !own(&reply) {
                         return Err(ExchangeError::BadReply);
                     }
-                    pool.put_back(link);
+                    if !self.unkept {
+                        pool.put_back(link);
+                    }
                     return Ok(reply);
                 }
             }
--- a/crates/ports/src/target.rs
+++ b/crates/ports/src/target.rs
@@ -31,7 +31,17 @@
 /// The port to targets over HTTP.
 #[must_use]
 pub fn targets() -> Targets {
-    let client = Arc::new(Client::default());
+    targets_over(Client::default())
+}
+
+/// The port to targets over HTTP that keeps no connection; for comparison.
+#[must_use]
+pub fn unkept_targets() -> Targets {
+    targets_over(Client::unkept())
+}
+
+fn targets_over(client: Client) -> Targets {
+    let client = Arc::new(client);
     let canceller = Arc::clone(&client);
     Targets {
         call: async_fn(move |(endpoint, call)| {
--- a/crates/standins/src/local.rs
+++ b/crates/standins/src/local.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::node::{LocalNode, NodeSpec};
+use crate::node::{LocalNode, NodeSpec, PortsFn, pooled_ports};
 use crate::searcher::Intake;
 
 /// Any free loopback port.
@@ -100,6 +100,8 @@
     pub fenced: bool,
     /// Seconds that callers may keep an address answer of such a node.
     pub keep_secs: u32,
+    /// Ports of such a node to targets and peers.
+    pub ports: PortsFn,
     _stop: watch::Sender<Phase>,
 }
 
@@ -122,6 +124,7 @@
             threads: 1,
             fenced: true,
             keep_secs: KEEP_SECS,
+            ports: pooled_ports,
             _stop: stop,
         })
     }
@@ -240,6 +243,7 @@
             started: unix_ms(),
             threads: self.threads,
             keep_secs: self.keep_secs,
+            ports: self.ports,
         };
         self.nodes.push(LocalNode::start(spec).await?);
         self.list_vms();
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use heatherrun_kernel::message::NodeInfo;
+use heatherrun_kernel::port::{Peers, Targets};
 use heatherrun_kernel::{Clock, DomainId, NodeId};
 use heatherrun_ports::serving::{Listeners, Serving};
 use heatherrun_ports::{peer_client, platform, target};
@@ -34,6 +35,17 @@
     pub threads: usize,
     /// Seconds that callers may keep an address answer.
     pub keep_secs: u32,
+    /// Makes the ports to targets and peers.
+    pub ports: PortsFn,
+}
+
+/// Makes the ports of a node to targets and peers.
+pub type PortsFn = fn() -> (Targets, Peers);
+
+/// The ports that the daemon uses.
+#[must_use]
+pub fn pooled_ports() -> (Targets, Peers) {
+    (target::targets(), peer_client::peers())
 }
 
 /// One node on threads of its own.
@@ -127,11 +139,12 @@
         started: spec.started,
     };
     let caller_address = info.callers;
+    let (targets, peers_port) = (spec.ports)();
     let node = Node::new(
         info,
         Clock::start(),
-        target::targets(),
-        peer_client::peers(),
+        targets,
+        peers_port,
         platform::platform(spec.platform),
         spec.keep_secs,
     );
