--- a/crates/tier/src/control/beats.rs
+++ b/crates/tier/src/control/beats.rs
@@ -68,7 +68,9 @@
     fn make_beat(&self) -> Option<(NodeInfo, Beat)> {
         let mut state = self.lock();
         let now = self.clock.now();
-        if state.lead.tenure().is_some() && state.desk.is_some() {
+        if state.lead.tenure().is_some() {
+            // An elected node is no one's follower, also before it can grant.
+            state.desk.as_ref()?;
             state.follow(self.info.clone(), now);
         }
         let link = state.link.clone()?;
@@ -150,7 +152,9 @@
             term: if lost { Epoch(0) } else { term },
             seen,
         });
-        if answer.tell || (more && !leads) {
+        // The leader frees a unit once a beat no longer tells of it.
+        let moved = answer.grants.is_some() || !self.rights.load().ending.is_empty();
+        if answer.tell || moved || (more && !leads) {
             return SOON;
         }
         if leads {
@@ -169,7 +173,6 @@
             self.close_records(state, &rights, grants);
             rights.take(now, grants, unix);
             rights.until = until;
-            self.beat.notify_one();
         } else if !answer.tell {
             rights.extend(now, until, unix);
         }
