Wake an owner's batch once, when its last call ends or outcomes are due

Cause: each call of a batch woke the task that answers the batch, which looked around, set a timer and slept again.

--- a/crates/ports/src/target.rs
+++ b/crates/ports/src/target.rs
@@ -20,7 +20,7 @@
 const REPLY_BYTES: usize = 4 << 20;
 
 /// Headers of a call, with room for those the library adds.
-const HEADERS: usize = 16;
+const HEADERS: usize = 10;
 
 /// Connections kept free for cancellations.
 const SPARE: usize = 1;
--- a/crates/tier/src/owner.rs
+++ b/crates/tier/src/owner.rs
@@ -5,7 +5,7 @@
     collections::{BTreeMap, HashMap},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -60,9 +60,28 @@
     done: SegQueue<Done>,
     marks: SegQueue<Suspicion>,
     changed: Notify,
+    /// True when each outcome is wanted at once, not only the last one.
+    eager: AtomicBool,
     calls: Mutex<BTreeMap<u16, Pending>>,
 }
 
+impl Open {
+    /// Takes the outcome of a call. The lock on `calls` orders this with
+    /// [`Owner::drain`]: either it finds the outcome, or it is told.
+    fn end(&self, done: Done) {
+        let attempt = done.attempt;
+        self.done.push(done);
+        let pending = {
+            let mut calls = lock(&self.calls);
+            calls.remove(&attempt);
+            calls.len()
+        };
+        if pending == 0 || self.eager.load(Ordering::Acquire) {
+            self.changed.notify_one();
+        }
+    }
+}
+
 /// One call of a batch that is not done.
 #[derive(Clone, Copy)]
 struct Pending {
@@ -171,10 +190,7 @@
                     deadline,
                 };
                 let done = owner.run(&run).await;
-                let attempt = done.attempt;
-                open.done.push(done);
-                lock(&open.calls).remove(&attempt);
-                open.changed.notify_one();
+                open.end(done);
             });
         }
         self.drain(key, &open, flush).await
@@ -193,6 +209,7 @@
             done: SegQueue::new(),
             marks: SegQueue::new(),
             changed: Notify::new(),
+            eager: AtomicBool::new(false),
             calls: Mutex::new(batch.calls.iter().map(pending).collect()),
         });
         let mut all = lock(&self.open);
@@ -220,12 +237,13 @@
     async fn drain(&self, key: BatchKey, open: &Open, flush: Time) -> BatchReply {
         let mut reply = BatchReply::default();
         loop {
+            let late = self.clock.now() >= flush;
+            open.eager.store(late, Ordering::Release);
             let pending = lock(&open.calls).len();
             while let Some(done) = open.done.pop() {
                 reply.done.push(done);
             }
             reply.pending = u16::try_from(pending).unwrap_or(u16::MAX);
-            let late = self.clock.now() >= flush;
             if pending == 0 || (late && !reply.done.is_empty()) {
                 break;
             }
