Give up a caller that takes no byte of its response

Cause: a caller that sent requests and read nothing kept one of the bounded places for ever. Change: a write without progress for the body's time fails, and the place is given back; test with a caller that reads nothing.

--- a/crates/ports/src/http_io.rs
+++ b/crates/ports/src/http_io.rs
@@ -1,6 +1,6 @@
 //! The byte stream below the HTTP server. It gives the library's own bodyless
-//! error responses the JSON form, and lets a peer read the last response
-//! before the socket closes.
+//! error responses the JSON form, gives a peer that reads nothing up, and lets
+//! a peer read the last response before the socket closes.
 
 use std::{
     io,
@@ -12,6 +12,7 @@
 use bytes::{Buf, Bytes};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
 use crate::http_reply::{Fault, raw};
 
@@ -29,16 +30,39 @@
 pub(crate) struct Guarded {
     stream: TcpStream,
     instead: Bytes,
+    /// Longest time for which a peer may not take the bytes of a response.
+    patience: Duration,
+    /// End of that time, while the peer takes nothing.
+    stalled: Option<Pin<Box<Sleep>>>,
 }
 
 impl Guarded {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream, patience: Duration) -> Self {
         Self {
             stream,
             instead: Bytes::new(),
+            patience,
+            stalled: None,
         }
     }
 
+    /// Fails a write that has made no progress for too long.
+    fn watch<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        wrote: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if wrote.is_ready() {
+            self.stalled = None;
+            return wrote;
+        }
+        let patience = self.patience;
+        let made = || Box::pin(tokio::time::sleep(patience));
+        let stalled = self.stalled.get_or_insert_with(made);
+        ready!(stalled.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     /// Writes the refusal of a fault and ends the sending side.
     pub(crate) async fn refuse(&mut self, fault: Fault) {
         let _ = self.stream.write_all(&raw(fault)).await;
@@ -65,7 +89,8 @@
     fn poll_instead(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         while !self.instead.is_empty() {
             let stream = Pin::new(&mut self.stream);
-            let count = ready!(stream.poll_write(cx, &self.instead))?;
+            let wrote = stream.poll_write(cx, &self.instead);
+            let count = ready!(self.watch(cx, wrote))?;
             if count == 0 {
                 return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
             }
@@ -110,13 +135,12 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         ready!(self.poll_instead(cx))?;
-        match library_fault(buf) {
-            Some(fault) => {
-                self.instead = raw(fault);
-                Poll::Ready(Ok(buf.len()))
-            }
-            None => Pin::new(&mut self.stream).poll_write(cx, buf),
+        if let Some(fault) = library_fault(buf) {
+            self.instead = raw(fault);
+            return Poll::Ready(Ok(buf.len()));
         }
+        let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.watch(cx, wrote)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/ports/src/http_server.rs
+++ b/crates/ports/src/http_server.rs
@@ -49,7 +49,8 @@
     pub connections: usize,
     /// Longest time in which a request's headers must arrive.
     pub head_time: Duration,
-    /// Longest time in which a request's body must arrive.
+    /// Longest time in which a request's body must arrive, and for which a
+    /// peer may take no byte of a response.
     pub body_time: Duration,
 }
 
@@ -146,7 +147,7 @@
     A: Fn(Result<Received, Fault>, SocketAddr) -> F + Send + Sync + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let io = Guarded::new(stream);
+    let io = Guarded::new(stream, shared.limits.body_time);
     if let Ok(place) = Arc::clone(places).try_acquire_owned() {
         tokio::spawn(connection(Arc::clone(shared), io, from, place));
     } else if let Ok(place) = Arc::clone(refused).try_acquire_owned() {
--- a/crates/ports/tests/callers.rs
+++ b/crates/ports/tests/callers.rs
@@ -161,6 +161,27 @@
     panic!("places of closed connections were not given back");
 }
 
+#[tokio::test]
+async fn serve_caller_that_reads_nothing_loses_its_place() {
+    let tier = tier(1).await;
+    let mut limits = caller::limits();
+    limits.connections = 1;
+    limits.body_time = Duration::from_millis(200);
+    let (address, _phase) = within(&tier, limits).await;
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (_unread, mut writer) = stream.into_split();
+    let asked = b"GET /addresses HTTP/1.1\r\nHost: t\r\n\r\n".repeat(200_000);
+    tokio::spawn(async move { writer.write_all(&asked).await });
+    for _ in 0..500 {
+        let got = exchange(address, &search()).await;
+        if got.status == 200 {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("a connection that reads nothing keeps its place");
+}
+
 #[tokio::test]
 async fn serve_pipelined_answers_in_order() {
     let tier = tier(1).await;
