--- a/crates/cli/tests/sockets.rs
+++ b/crates/cli/tests/sockets.rs
@@ -104,6 +104,7 @@
     let burn = done(&tier, "burn buyer-desk --json").await;
     let burn: v1::BurnAnswer = serde_json::from_str(&burn).unwrap();
     assert_eq!(burn.nodes.len(), 3);
+    assert!(burn.uncounted.is_empty());
     let served = burn.services[0]
         .windows
         .iter()
--- a/crates/cli/tests/transcript.rs
+++ b/crates/cli/tests/transcript.rs
@@ -226,6 +226,7 @@
                 name: format!("entry-1{}", request.service),
                 covered_secs: 600,
             }],
+            uncounted: vec!["entry-2".to_owned()],
         })
     }
 
--- a/crates/report/examples/burn_page.rs
+++ b/crates/report/examples/burn_page.rs
@@ -104,6 +104,7 @@
             name: "entry-1".to_owned(),
             covered_secs: MINUTES * 60,
         }],
+        uncounted: Vec::new(),
     };
     match std::env::args().nth(1) {
         Some(file) => std::fs::write(file, registry::report("html")?(&burn))?,
--- a/crates/report/src/merge.rs
+++ b/crates/report/src/merge.rs
@@ -14,6 +14,11 @@
         }
     }
     sum.nodes.sort_by(|a, b| a.name.cmp(&b.name));
+    sum.uncounted.extend(more.uncounted);
+    sum.uncounted.sort();
+    sum.uncounted.dedup();
+    let counted = |name: &str| sum.nodes.iter().any(|n| n.name == name);
+    sum.uncounted.retain(|name| !counted(name));
     for service in more.services {
         match sum
             .services
--- a/crates/report/src/page.rs
+++ b/crates/report/src/page.rs
@@ -47,7 +47,7 @@
     out += "<title>Service-level burn</title><style>";
     out += STYLE;
     out += "</style></head><body><main>\n<h1>Service-level burn</h1>\n";
-    let _ = writeln!(out, "<p>{}</p>", escape(&text::coverage(&burn.nodes)));
+    let _ = writeln!(out, "<p>{}</p>", escape(&text::coverage(burn)));
     write_key(&mut out);
     for service in &burn.services {
         write_service(service, &mut out);
--- a/crates/report/src/text.rs
+++ b/crates/report/src/text.rs
@@ -45,19 +45,23 @@
     if burn.services.is_empty() {
         text += "no service\n";
     }
-    text += &coverage(&burn.nodes);
+    text += &coverage(burn);
+    text.push('\n');
     text
 }
 
-/// One line that says what the counts cover.
+/// One sentence that says what the counts cover.
 #[must_use]
-pub fn coverage(nodes: &[v1::BurnNode]) -> String {
+pub fn coverage(burn: &v1::BurnAnswer) -> String {
     let name = |n: &v1::BurnNode| format!("{} ({})", n.name, units::secs(n.covered_secs));
-    let names: Vec<_> = nodes.iter().map(name).collect();
-    format!(
-        "counted by {}; a node counts from its start, and what replaced nodes counted is gone\n",
-        names.join(", ")
-    )
+    let names: Vec<_> = burn.nodes.iter().map(name).collect();
+    let mut text = format!("counted by {}", names.join(", "));
+    if !burn.uncounted.is_empty() {
+        text.push_str("; not counted: ");
+        text.push_str(&burn.uncounted.join(", "));
+    }
+    text.push_str("; a node counts from its start, and what replaced nodes counted is gone");
+    text
 }
 
 /// One alert as a sentence.
--- a/crates/report/tests/burn.rs
+++ b/crates/report/tests/burn.rs
@@ -237,11 +237,13 @@
                 name: name.to_owned(),
                 covered_secs: start * 60,
             }],
+            uncounted: vec!["entry-1".to_owned(), "entry-3".to_owned()],
         };
         merge::merge(&mut sum, answer);
     }
     let names: Vec<_> = sum.nodes.iter().map(|n| n.name.as_str()).collect();
     assert_eq!(names, ["entry-1", "entry-2"]);
+    assert_eq!(sum.uncounted, ["entry-3"]);
     let window = find(&sum.services[0], "latency", 300);
     assert_eq!(
         (window.good, window.total, window.covered_secs),
@@ -259,7 +261,7 @@
     recorder.blame(at_minute(1), service(true).id, blame("buyer-desk-<3>"));
     let burn = v1::BurnAnswer {
         services: vec![recorder.burn(at_minute(1), &service(true))],
-        nodes: Vec::new(),
+        ..v1::BurnAnswer::default()
     };
     let page = registry::report("html").unwrap()(&burn);
     assert_eq!(page.matches("<svg").count(), 4);
--- a/crates/tier/src/burn.rs
+++ b/crates/tier/src/burn.rs
@@ -19,6 +19,8 @@
             }],
             ..v1::BurnAnswer::default()
         };
+        let others = view.nodes.values().filter(|m| m.info.id != self.info.id);
+        answer.uncounted = others.map(|m| m.info.name.clone()).collect();
         for service in view.services.values() {
             if !request.service.is_empty() && request.service != service.name {
                 continue;
