--- a/crates/standins/src/searcher.rs
+++ b/crates/standins/src/searcher.rs
@@ -6,7 +6,7 @@
 use heatherrun_fakes::searcher::Searcher;
 use heatherrun_kernel::message::{CallError, CallKind, Failure, TargetCall};
 use heatherrun_kernel::{CallId, Epoch, MapRev, ServiceId, ShardIx, Snapshot, TargetId};
-use heatherrun_ports::http_reply::{Reply, respond};
+use heatherrun_ports::http_reply::{Reply, abort, respond};
 use heatherrun_ports::http_server::{self, Limits, Phase, Received};
 use heatherrun_ports::target::name_failure;
 use heatherrun_ports::wire;
@@ -19,23 +19,35 @@
 
 type Running = Arc<Mutex<HashMap<String, oneshot::Sender<()>>>>;
 
-/// Serves `searcher` until the phase is [`Phase::Close`].
-pub async fn serve(listener: TcpListener, searcher: Searcher, phase: watch::Receiver<Phase>) {
+/// How a searcher takes calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Intake {
+    /// Connections it accepts.
+    pub connections: usize,
+    /// Whether it refuses calls of an older epoch than it has seen.
+    pub fenced: bool,
+}
+
+/// Serves `searcher` until the phase is [`Phase::Close`]. A call that the
+/// searcher loses closes its connection.
+pub async fn serve(
+    listener: TcpListener,
+    searcher: Searcher,
+    intake: Intake,
+    phase: watch::Receiver<Phase>,
+) {
+    let mut limits = Limits::new(BODY_BYTES);
+    limits.connections = intake.connections;
     let running = Running::default();
-    http_server::serve(
-        listener,
-        Limits::new(BODY_BYTES),
-        phase,
-        move |received, _| {
-            let (searcher, running) = (searcher.clone(), Arc::clone(&running));
-            async move {
-                match received {
-                    Ok(received) => answer(&searcher, &running, received).await,
-                    Err(fault) => fault.reply(),
-                }
+    http_server::serve(listener, limits, phase, move |received, _| {
+        let (searcher, running) = (searcher.clone(), Arc::clone(&running));
+        async move {
+            match received {
+                Ok(received) => answer(&searcher, &running, received, intake).await,
+                Err(fault) => fault.reply(),
             }
-        },
-    )
+        }
+    })
     .await;
 }
 
@@ -48,13 +60,22 @@
     header(received, name).parse().unwrap_or(0)
 }
 
-async fn answer(searcher: &Searcher, running: &Running, received: Received) -> Reply {
+async fn answer(
+    searcher: &Searcher,
+    running: &Running,
+    received: Received,
+    intake: Intake,
+) -> Reply {
     let id = header(&received, &wire::CALL).to_owned();
     if received.head.uri.path() == "/cancel" {
         let mut running = running.lock().unwrap_or_else(PoisonError::into_inner);
         running.remove(&id);
         return respond(StatusCode::OK, Bytes::new());
     }
+    let mut call = parse(&received);
+    if !intake.fenced {
+        call.epoch = Epoch(0);
+    }
     let (tell, cancelled) = oneshot::channel();
     running
         .lock()
@@ -62,7 +83,7 @@
         .insert(id.clone(), tell);
     let result = tokio::select! {
         biased;
-        result = searcher.call(parse(&received)) => result,
+        result = searcher.call(call) => result,
         _ = cancelled => Err(CallError::unknown(Failure::Cancelled)),
     };
     running
@@ -74,6 +95,10 @@
             StatusCode::OK,
             wire::encode_reply(reply).unwrap_or_default().into(),
         ),
+        Err(CallError {
+            failure: Failure::ConnectionLost | Failure::TimedOut,
+            ..
+        }) => return abort(),
         Err(error) => refuse(error),
     };
     if let Ok(value) = id.parse() {
