Undeclared objectives blame nobody

Found on the quickstart: a service without objectives has a latency bound of 0, so each answer counted as late and was blamed on a target. Latency is counted, and a miss blamed, only for a declared objective. Nodes are listed by name.

--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -203,7 +203,9 @@
         "revision",
         "load",
     ]);
-    for node in nodes {
+    let mut sorted: Vec<_> = nodes.iter().collect();
+    sorted.sort_by(|a, b| a.name.cmp(&b.name));
+    for node in sorted {
         table.row([
             node.name.clone(),
             node.domain.clone(),
--- a/crates/report/examples/burn_page.rs
+++ b/crates/report/examples/burn_page.rs
@@ -66,18 +66,18 @@
         let target = format!("{}-{}-ticino", service.name, rng.random_range(0..3));
         if is_slow {
             let missed = blame(Objective::Latency, "ticino", &target, "straggler");
-            recorder.blame(now, service.id, missed);
+            recorder.blame(now, service, missed);
         }
         if !whole && service.sharded {
             let target = target.replace("ticino", "zurich");
             let missed = blame(Objective::Coverage, "zurich", &target, "connection-lost");
-            recorder.blame(now, service.id, missed);
+            recorder.blame(now, service, missed);
         }
     }
     if rng.random_range(0..1_000) < 30 {
         recorder.record(now, service, Event::Refused);
         let missed = blame(Objective::Served, "", "", "overloaded");
-        recorder.blame(now, service.id, missed);
+        recorder.blame(now, service, missed);
     }
 }
 
--- a/crates/report/src/recorder.rs
+++ b/crates/report/src/recorder.rs
@@ -266,12 +266,16 @@
         if service.sharded {
             live(Objective::Coverage).add(whole);
         }
-        live(Objective::Latency).add(within(took, &service.objectives));
+        if service.objectives.latency_ppm > 0 {
+            live(Objective::Latency).add(within(took, &service.objectives));
+        }
     }
 
-    /// Counts what a bad event is blamed on.
-    pub fn blame(&self, now: Time, service: ServiceId, blame: Blame) {
-        self.sheet(service, minute(now)).blame(blame);
+    /// Counts what a bad event is blamed on, when its objective is declared.
+    pub fn blame(&self, now: Time, service: &Service, blame: Blame) {
+        if blame.objective.target_ppm(&service.objectives) > 0 {
+            self.sheet(service.id, minute(now)).blame(blame);
+        }
     }
 
     /// Burn of one service; a node covers no more than the time since its
--- a/crates/report/tests/burn.rs
+++ b/crates/report/tests/burn.rs
@@ -93,7 +93,12 @@
     service.objectives = v1::Objectives::default();
     let recorder = Recorder::default();
     recorder.record(at_minute(0), &service, answered(1, true));
-    assert_eq!(recorder.burn(at_minute(0), &service).windows, []);
+    recorder.blame(at_minute(0), &service, blame("a"));
+    let burn = recorder.burn(at_minute(0), &service);
+    assert_eq!((burn.windows, burn.causes), (Vec::new(), Vec::new()));
+    service.objectives.latency_ppm = 990_000;
+    let burn = recorder.burn(at_minute(0), &service);
+    assert_eq!(find(&burn, "latency", 300).total, 0, "late by no bound");
 }
 
 #[test]
@@ -136,10 +141,9 @@
 #[test]
 fn burn_causes_are_sorted_and_expire() {
     let recorder = Recorder::default();
-    let id = service(true).id;
     for (target, count) in [("a", 1), ("b", 3), ("c", 2)] {
         for _ in 0..count {
-            recorder.blame(at_minute(1), id, blame(target));
+            recorder.blame(at_minute(1), &service(true), blame(target));
         }
     }
     let names = |now| {
@@ -159,11 +163,7 @@
 fn blame_many_targets_stays_bounded() {
     let recorder = Recorder::default();
     for n in 0..2_000 {
-        recorder.blame(
-            at_minute(1),
-            service(true).id,
-            blame(&format!("target-{n}")),
-        );
+        recorder.blame(at_minute(1), &service(true), blame(&format!("target-{n}")));
     }
     let causes = recorder.burn(at_minute(1), &service(true)).causes;
     assert!(causes.len() <= 300, "{}", causes.len());
@@ -230,7 +230,7 @@
     for (name, slow, start) in [("entry-2", 4, 5), ("entry-1", 0, 1)] {
         let recorder = Recorder::default();
         minute(&recorder, start, slow);
-        recorder.blame(at_minute(start), service(true).id, blame("a"));
+        recorder.blame(at_minute(start), &service(true), blame("a"));
         let answer = v1::BurnAnswer {
             services: vec![recorder.burn(at_minute(start), &service(true))],
             nodes: vec![v1::BurnNode {
@@ -258,7 +258,7 @@
 fn reports_register_and_render() {
     let recorder = Recorder::default();
     minute(&recorder, 1, 20);
-    recorder.blame(at_minute(1), service(true).id, blame("buyer-desk-<3>"));
+    recorder.blame(at_minute(1), &service(true), blame("buyer-desk-<3>"));
     let burn = v1::BurnAnswer {
         services: vec![recorder.burn(at_minute(1), &service(true))],
         ..v1::BurnAnswer::default()
--- a/crates/tier/src/outcome.rs
+++ b/crates/tier/src/outcome.rs
@@ -126,7 +126,7 @@
         );
         self.recorder.record(now, service, Event::Refused);
         let blame = blame(Objective::Served, kind);
-        self.recorder.blame(now, service.id, blame);
+        self.recorder.blame(now, service, blame);
         self.metric(Metric::Refused {
             service: &service.name,
             kind,
@@ -158,11 +158,11 @@
         self.recorder
             .record(now, service, Event::Answered { took, whole });
         if !recorder::within(took, &service.objectives) {
-            self.recorder.blame(now, service.id, ended.late());
+            self.recorder.blame(now, service, ended.late());
         }
         for (shard, failure) in missing {
             self.recorder
-                .blame(now, service.id, ended.uncovered(shard, failure));
+                .blame(now, service, ended.uncovered(shard, failure));
         }
         let attempts = ended.sent_as("");
         log::info!(
@@ -186,7 +186,7 @@
         let mut missed = ended.blame_last(None, Objective::Served, &kind);
         missed.cause.clone_from(&kind);
         self.recorder.record(now, service, Event::Refused);
-        self.recorder.blame(now, service.id, missed);
+        self.recorder.blame(now, service, missed);
         let ran_words = words(&format!("{ran:?}"));
         log::info!(
             id = ended.trace.id.as_str(), service = service.name.as_str(),
