--- a/crates/tier/tests/faults.rs
+++ b/crates/tier/tests/faults.rs
@@ -27,7 +27,7 @@
 /// Node whose failure domain the faults of single nodes hit.
 const HIT: &str = "wallis";
 
-async fn begin(tier: &mut Tier, fault: &str) {
+fn begin(tier: &mut Tier, fault: &str) {
     let leader = tier.leader(HIT);
     let member = (0..3).find(|at| Some(*at) != leader && tier.mesh.nodes[*at].runs());
     let store = |faults| tier.mesh.store.set_faults(faults);
@@ -99,7 +99,7 @@
     let mut tier = Tier::start().await;
     sleep(Duration::from_secs(3)).await;
     for fault in case.split(' ') {
-        begin(&mut tier, fault).await;
+        begin(&mut tier, fault);
         sleep(APART).await;
     }
     sleep(BOTH).await;
