--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -12,7 +12,7 @@
 const QUEUE_FACTOR: usize = 4;
 
 /// Calls that may wait at a target with a small limit.
-const LEAST_QUEUE: usize = 8;
+const LEAST_QUEUE: usize = 4;
 
 /// Time after which a draining target is tried with one call.
 const DRAIN_PROBE: Duration = Duration::from_secs(10);
@@ -146,6 +146,9 @@
             }
             self.limit.turn_cold();
         }
+        if self.limit() == 0 {
+            return Step::Refuse(Failure::NotOwner);
+        }
         let overdue = self.overdue(now);
         self.limit.check_jump(overdue);
         if self.queue.is_empty() && self.has_place(now) {
@@ -209,6 +212,8 @@
         let first = *first;
         let verdict = if self.drain.is_some() {
             Err(Failure::Draining)
+        } else if self.limit() == 0 {
+            Err(Failure::NotOwner)
         } else if first.deadline <= now {
             Err(Failure::Expired)
         } else if self.has_place(now) {
@@ -223,6 +228,14 @@
         Some((first.id, verdict))
     }
 
+    /// When [`Gate::next`] may return a call though none ended meanwhile.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<Time> {
+        let open = self.flying.len() < usize::from(self.limit());
+        let paced = open && !self.queue.is_empty();
+        paced.then(|| self.limit.token_at())
+    }
+
     /// Takes a waiting call out; false when it does not wait.
     pub fn withdraw(&mut self, id: CallId) -> bool {
         let before = self.queue.len();
@@ -250,6 +263,7 @@
                     beside: flight.beside,
                     flying,
                     warmth: reply.report.warmth,
+                    busy: reply.report.busy,
                 });
                 self.note_drain(now, reply.report.warmth == Warmth::Draining);
             }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -25,7 +25,7 @@
 const SLOW_FACTOR: u32 = 3;
 
 /// Latest calls looked at for a jump of latency.
-const RECENT: usize = 6;
+const RECENT: usize = 8;
 
 /// Slow ones among the latest calls that make a jump. A lone straggler does
 /// not.
@@ -35,8 +35,17 @@
 /// them on average.
 const PACE: f64 = 1.25;
 
+/// Added to the wait for a token, against rounding.
+const LEAST_WAIT: Duration = Duration::from_micros(1);
+
 /// Weight of one call in the moving averages, as a divisor.
-const SMOOTHING: u32 = 8;
+const SMOOTHING: u32 = 32;
+
+/// The same for the average by which waits are estimated.
+const QUICK_SMOOTHING: u32 = 8;
+
+/// Mean count of reported calls above which the reports are believed.
+const BELIEVED_BUSY: f64 = 0.25;
 
 /// Growth of the usual latency with each slow call, as a divisor. A target
 /// that stays slow is usual at last.
@@ -53,6 +62,8 @@
     pub flying: usize,
     /// What the target reports of itself.
     pub warmth: Warmth,
+    /// Calls that the target reports in its slots and its queue.
+    pub busy: u16,
 }
 
 /// Adaptive limit of one target.
@@ -68,6 +79,12 @@
     usual: Option<Duration>,
     /// Mean latency of all calls but slow ones.
     recent: Duration,
+    /// Mean latency of all calls, quick to follow.
+    whole: Duration,
+    /// Mean count of calls in flight that are not at the target.
+    wire: f64,
+    /// Mean count of calls at the target as it reports them.
+    busy: f64,
     /// Whether each of the latest calls was slow.
     slow: VecDeque<bool>,
     tokens: f64,
@@ -87,6 +104,9 @@
             work: COLD_WORK,
             usual: None,
             recent: Duration::ZERO,
+            whole: Duration::ZERO,
+            wire: 0.0,
+            busy: 0.0,
             slow: VecDeque::with_capacity(RECENT),
             tokens: f64::from(slots * BEARS_FACTOR),
             filled: Time::default(),
@@ -108,6 +128,17 @@
         f64::from(self.slots * BEARS_FACTOR)
     }
 
+    /// Calls in flight at the most: what the target bears at its place and,
+    /// when many calls are on the wire for certain, these as well. A target
+    /// that answers all the time and reports no calls is not believed.
+    fn cap(&self) -> f64 {
+        let mut cap = self.bears();
+        if self.wire >= f64::from(self.slots) && self.busy > BELIEVED_BUSY {
+            cap += self.wire;
+        }
+        cap.min(self.most)
+    }
+
     /// Sets the limit back to what a cold target bears.
     pub fn turn_cold(&mut self) {
         let bears = self.slots * BEARS_FACTOR;
@@ -121,7 +152,7 @@
         self.work > 0
     }
 
-    /// Limit, of which `share` per cent may be used; at least one.
+    /// Limit, of which `share` per cent may be used.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn now(&self, share: u8) -> u16 {
         part((self.allowed as u16).max(1), share)
@@ -134,17 +165,20 @@
 
     /// Expected time between two places that come free.
     pub fn turn(&self, share: u8) -> Duration {
-        let took = self.recent.max(self.usual.unwrap_or_default());
+        let took = self.whole.max(self.usual.unwrap_or_default());
         took / u32::from(self.now(share).max(1))
     }
 
-    /// Whether a call that took or waits this long is slow, sent as one of
-    /// `beside` in flight: those past the slots wait for one.
+    /// Whether a call that took or waits this long is slow, with `beside`
+    /// calls in flight when it was sent.
     pub fn is_slow(&self, took: Duration, beside: usize) -> bool {
-        let turns = beside.div_ceil(usize::from(self.slots)).max(1);
-        let turns = u32::try_from(turns).unwrap_or(u32::MAX);
-        let factor = SLOW_FACTOR.saturating_mul(turns);
-        self.usual.is_some_and(|usual| took > usual * factor)
+        let Some(usual) = self.usual else {
+            return false;
+        };
+        let beside = u16::try_from(beside).unwrap_or(u16::MAX);
+        let queued = f64::from(beside) / f64::from(self.slots);
+        let expected = usual.mul_f64(queued.clamp(1.0, f64::from(BEARS_FACTOR)));
+        took > expected * SLOW_FACTOR
     }
 
     /// Takes one token for a send. More calls than the target bears at its
@@ -170,10 +204,18 @@
         true
     }
 
+    /// When the next token is there.
+    pub fn token_at(&self) -> Time {
+        let usual = self.usual.unwrap_or_default();
+        let missing = (1.0 - self.tokens).max(0.0);
+        self.filled + usual.mul_f64(missing / (self.allowed * PACE)) + LEAST_WAIT
+    }
+
     /// Notes a completed call.
     pub fn completed(&mut self, seen: Seen) {
         let slow = self.is_slow(seen.took, seen.beside);
         self.average(seen, slow);
+        self.average_wire(seen);
         self.note_speed(slow, 0);
         if seen.warmth == Warmth::Cold {
             self.turn_cold();
@@ -209,7 +251,15 @@
         }
     }
 
+    fn average_wire(&mut self, seen: Seen) {
+        let flying = u16::try_from(seen.flying).unwrap_or(u16::MAX);
+        let wire = f64::from(flying.saturating_sub(seen.busy));
+        self.wire += (wire - self.wire) / f64::from(SMOOTHING);
+        self.busy += (f64::from(seen.busy) - self.busy) / f64::from(SMOOTHING);
+    }
+
     fn average(&mut self, seen: Seen, slow: bool) {
+        self.whole = smooth(self.whole, seen.took, QUICK_SMOOTHING);
         let Some(usual) = self.usual else {
             self.usual = Some(seen.took);
             self.recent = seen.took;
@@ -220,9 +270,9 @@
             return;
         }
         if seen.beside <= usize::from(self.slots) {
-            self.usual = Some(smooth(usual, seen.took));
+            self.usual = Some(smooth(usual, seen.took, SMOOTHING));
         }
-        self.recent = smooth(self.recent, seen.took);
+        self.recent = smooth(self.recent, seen.took, SMOOTHING);
     }
 
     /// Raises the limit while it is used and calls do not queue at the
@@ -231,7 +281,7 @@
         let slots = f64::from(self.slots);
         if self.allowed < slots {
             if self.is_used(flying) {
-                self.allowed = (self.allowed + 1.0 / self.allowed).min(self.most);
+                self.allowed = (self.allowed + 1.0 / self.allowed).min(self.cap());
             }
             return;
         }
@@ -239,8 +289,9 @@
         if queue > slots / 2.0 {
             self.allowed = (self.allowed - 1.0 / self.allowed).max(slots.min(self.most));
         } else if queue < slots / 4.0 && self.is_used(flying) {
-            self.allowed = (self.allowed + 1.0 / self.allowed).min(self.most);
+            self.allowed += 1.0 / self.allowed;
         }
+        self.allowed = self.allowed.min(self.cap());
     }
 
     fn is_used(&self, flying: usize) -> bool {
@@ -269,6 +320,6 @@
     }
 }
 
-fn smooth(old: Duration, new: Duration) -> Duration {
-    old.saturating_sub(old / SMOOTHING) + new / SMOOTHING
+fn smooth(old: Duration, new: Duration, divisor: u32) -> Duration {
+    old.saturating_sub(old / divisor) + new / divisor
 }
--- a/crates/policy/src/query.rs
+++ b/crates/policy/src/query.rs
@@ -8,17 +8,20 @@
 
 use std::{sync::Arc, time::Duration};
 
-use heatherrun_kernel::message::{CallError, CallKind, Done, Failure, Ran, Reason, TargetReply};
+use heatherrun_kernel::message::{CallKind, Failure, Reason};
 use heatherrun_kernel::view::Service;
 use heatherrun_kernel::{MapRev, ShardIx, Snapshot, TargetId, Time};
 use rand::{Rng, RngExt};
 
-use crate::answer::weight;
 pub use crate::answer::{Merged, Missing, Verdict};
 use crate::marks::Level;
 use crate::slot::Slot;
 use crate::{budget::Budget, fleet::Fleet, hedge::Hedges};
 
+mod outcome;
+mod timer;
+mod verdict;
+
 /// Time kept for merging and for the way back to the caller.
 const MARGIN: Duration = Duration::from_millis(2);
 
@@ -183,7 +186,7 @@
         actions
     }
 
-    /// Asks all shards that were not asked, or a few of them while probing.
+    /// Asks all shards that were not asked, or one more while probing.
     fn launch<R: Rng>(
         &mut self,
         reason: Reason,
@@ -196,8 +199,11 @@
         if self.probing {
             first = cx.rng.random_range(0..count);
         }
-        let pinned = self.snapshot != Snapshot(0) && !self.is_suspect(cx);
-        let most = if pinned { MOST_FIRST } else { 1 };
+        // Two first replies could come from two snapshots.
+        let mut most = self.most_open(cx);
+        if self.snapshot == Snapshot(0) {
+            most = most.min(self.open() + 1);
+        }
         for step in 0..count {
             let shard = (first + step) % count;
             if !self.slots[shard].is_held() {
@@ -207,7 +213,7 @@
             if !sent && cx.level != Level::Banned {
                 self.pause(shard, now, cx);
             }
-            if sent && self.probing && self.open() >= most {
+            if self.probing && self.open() >= most {
                 return;
             }
         }
@@ -221,6 +227,7 @@
         cx: &mut Context<'_, R>,
         actions: &mut Vec<Action>,
     ) -> bool {
+        let ix = index(shard);
         let slot = &mut self.slots[shard];
         slot.again = None;
         if cx.level == Level::Banned {
@@ -242,7 +249,7 @@
             attempt: u16::try_from(self.shards.len()).unwrap_or(u16::MAX),
             reason,
             target,
-            shard: ShardIx(u16::try_from(shard).unwrap_or(u16::MAX)),
+            shard: ix,
             at: now,
         };
         self.shards.push(sent.shard.0);
@@ -259,144 +266,17 @@
         true
     }
 
-    /// Takes the outcome of one call.
-    pub fn on_done<R: Rng>(
-        &mut self,
-        now: Time,
-        done: Done,
-        cx: &mut Context<'_, R>,
-    ) -> Vec<Action> {
-        let mut actions = Vec::new();
-        let Some((shard, sent)) = self.take_open(done.attempt) else {
-            return actions;
-        };
-        let seen = cx.fleet.seen(sent.target);
-        let took = now.since(sent.at);
-        match done.result {
-            Ok(reply) => {
-                seen.replied(now, took, &done.report);
-                cx.hedges.note(sent.shard, took);
-                self.on_reply(shard, reply, now, cx, &mut actions);
-            }
-            Err(error) => {
-                seen.failed(now, took, error.failure, &done.report);
-                if error.failure == Failure::SnapshotGone {
-                    seen.lacks(self.snapshot);
-                }
-                if error.failure == Failure::Busy {
-                    cx.budget.note_overload(now);
-                }
-                self.on_error(shard, error, now, cx, &mut actions);
-            }
-        }
-        actions
-    }
-
-    fn take_open(&mut self, attempt: u16) -> Option<(usize, Sent)> {
-        let attempt = usize::from(attempt);
-        if attempt < self.plan {
-            return None;
-        }
-        let shard = usize::from(*self.shards.get(attempt)?);
-        let open = &mut self.slots[shard].open;
-        let at = open
-            .iter()
-            .position(|s| usize::from(s.attempt) == attempt)?;
-        Some((shard, open.swap_remove(at)))
-    }
-
-    fn on_reply<R: Rng>(
-        &mut self,
-        shard: usize,
-        reply: TargetReply,
-        now: Time,
-        cx: &mut Context<'_, R>,
-        actions: &mut Vec<Action>,
-    ) {
-        self.ran = true;
-        self.spec.proven = true;
-        if self.snapshot == Snapshot(0) && self.is_search() {
-            self.snapshot = reply.snapshot;
-        }
-        if self.is_search() && (reply.snapshot != self.snapshot || reply.map != self.map()) {
-            let mut gone = Failure::MapChanged;
-            if reply.map == self.map() {
-                gone = Failure::SnapshotGone;
-            }
-            self.on_error(shard, CallError::unknown(gone), now, cx, actions);
-            return;
-        }
-        self.slots[shard].reply = Some((reply.lots, reply.body));
-        self.cancel_open(shard, now, cx, actions);
-        if self.probing {
-            self.probing = false;
-            self.launch(Reason::First, now, cx, actions);
-        }
-    }
-
-    fn on_error<R: Rng>(
-        &mut self,
-        shard: usize,
-        error: CallError,
-        now: Time,
-        cx: &mut Context<'_, R>,
-        actions: &mut Vec<Action>,
-    ) {
-        self.ran |= error.ran == Ran::Unknown;
-        self.slots[shard].failure = Some(error.failure);
-        if self.must_replan(shard, error.failure, cx) {
-            self.replan(now, cx, actions);
-            return;
-        }
-        if !self.slots[shard].open.is_empty() {
-            return;
-        }
-        let repeatable = self.spec.kind != CallKind::Once || error.ran == Ran::NotRun;
-        if repeatable && !is_final(error.failure) {
-            self.retry(shard, error, now, cx, actions);
-        }
-        if self.probing && self.open() == 0 {
-            self.launch(Reason::First, now, cx, actions);
-        }
-    }
-
-    /// Tries another replica at once, or all of them again after a pause when
-    /// none is left and the last attempt did not run.
-    fn retry<R: Rng>(
-        &mut self,
-        shard: usize,
-        error: CallError,
-        now: Time,
-        cx: &mut Context<'_, R>,
-        actions: &mut Vec<Action>,
-    ) {
-        if self.is_suspect(cx) && self.open() > 0 {
-            self.pause(shard, now, cx);
-            return;
-        }
-        let free = error.ran == Ran::NotRun && is_unsent(error.failure);
-        if !self.slots[shard].may_send() {
-            return;
-        }
-        if free || cx.budget.spend() {
-            if self.send(shard, Reason::Retry, now, cx, actions) {
-                return;
-            }
-            if !free {
-                cx.budget.refund();
-            }
-        }
-        if error.ran == Ran::NotRun {
-            self.pause(shard, now, cx);
-        }
-    }
-
     fn pause<R: Rng>(&mut self, shard: usize, now: Time, cx: &mut Context<'_, R>) {
         let jitter = cx.rng.random_range(0.0..1.0);
         let end = self.end();
         self.slots[shard].pause(now, end, jitter);
     }
 
+    /// Calls that may be open before some target answered the request.
+    fn most_open<R: Rng>(&self, cx: &Context<'_, R>) -> usize {
+        if self.is_suspect(cx) { 1 } else { MOST_FIRST }
+    }
+
     /// A suspect that no target answered runs on one target at a time.
     fn is_suspect<R: Rng>(&self, cx: &Context<'_, R>) -> bool {
         cx.level != Level::Clear && !self.spec.proven
@@ -405,259 +285,8 @@
     fn open(&self) -> usize {
         self.slots.iter().map(|slot| slot.open.len()).sum()
     }
-
-    /// Drops the open calls of a shard; they may have run.
-    fn cancel_open<R: Rng>(
-        &mut self,
-        shard: usize,
-        now: Time,
-        cx: &mut Context<'_, R>,
-        actions: &mut Vec<Action>,
-    ) {
-        for sent in self.slots[shard].open.drain(..) {
-            self.ran = true;
-            let waited = now.since(sent.at);
-            cx.fleet.seen(sent.target).cancelled(now, waited);
-            actions.push(Action::Cancel {
-                attempt: sent.attempt,
-                target: sent.target,
-            });
-        }
-    }
-
-    /// Whether the plan does not hold any more: the map in force is newer, or
-    /// no replica of the shard is known to hold the snapshot.
-    fn must_replan<R: Rng>(&self, shard: usize, failure: Failure, cx: &Context<'_, R>) -> bool {
-        if self.replanned || !self.is_search() {
-            return false;
-        }
-        match failure {
-            Failure::MapChanged => cx.current.is_some_and(|now| now.map > self.map()),
-            Failure::SnapshotGone => {
-                let slot = &self.slots[shard];
-                let left = |id: &TargetId| {
-                    let fresh = (cx.usable)(*id) && !slot.tried.contains(id);
-                    fresh && cx.fleet.seen(*id).may_hold(self.snapshot)
-                };
-                !self.spec.service.shards[shard].iter().any(left)
-            }
-            _ => false,
-        }
-    }
-
-    /// Starts over, once, on the map in force and the newest snapshot that
-    /// all shards hold. Replies of the earlier plan are not merged.
-    fn replan<R: Rng>(&mut self, now: Time, cx: &mut Context<'_, R>, actions: &mut Vec<Action>) {
-        self.replanned = true;
-        for shard in 0..self.slots.len() {
-            self.cancel_open(shard, now, cx, actions);
-        }
-        if let Some(current) = cx.current {
-            self.spec.service = Arc::clone(current);
-        }
-        let mut common = cx.fleet.common_snapshot(&self.spec.service.shards);
-        if common <= self.snapshot {
-            common = Snapshot(0);
-        }
-        self.snapshot = common;
-        self.reset();
-        self.launch(Reason::Retry, now, cx, actions);
-    }
-
-    /// Hedges slow calls and repeats refused ones; call it at
-    /// [`Query::wake_at`].
-    pub fn on_tick<R: Rng>(&mut self, now: Time, cx: &mut Context<'_, R>) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for shard in 0..self.slots.len() {
-            let slot = &mut self.slots[shard];
-            if slot.again.is_some_and(|at| at <= now) {
-                self.again(shard, now, cx, &mut actions);
-                continue;
-            }
-            if slot.hedge.is_some_and(|at| at <= now) {
-                slot.hedge = Some(now + HEDGE_AGAIN);
-                self.hedge(shard, now, cx, &mut actions);
-            }
-        }
-        actions
-    }
-
-    fn again<R: Rng>(
-        &mut self,
-        shard: usize,
-        now: Time,
-        cx: &mut Context<'_, R>,
-        actions: &mut Vec<Action>,
-    ) {
-        let failure = self.slots[shard].failure.unwrap_or(Failure::Busy);
-        if self.must_replan(shard, failure, cx) {
-            self.replan(now, cx, actions);
-            return;
-        }
-        let most = if self.is_suspect(cx) { 1 } else { MOST_FIRST };
-        let careful = self.probing || self.is_suspect(cx);
-        let blocked = careful && self.open() >= most;
-        let free = is_unsent(failure);
-        if blocked || !(free || cx.budget.spend()) {
-            self.slots[shard].again = None;
-            self.pause(shard, now, cx);
-            return;
-        }
-        if !self.send(shard, Reason::Retry, now, cx, actions) {
-            if !free {
-                cx.budget.refund();
-            }
-            self.pause(shard, now, cx);
-        }
-    }
-
-    fn hedge<R: Rng>(
-        &mut self,
-        shard: usize,
-        now: Time,
-        cx: &mut Context<'_, R>,
-        actions: &mut Vec<Action>,
-    ) {
-        if !self.slots[shard].may_send() || self.slots[shard].open.is_empty() {
-            self.slots[shard].hedge = None;
-            return;
-        }
-        if self.is_suspect(cx) {
-            return;
-        }
-        if self.probing {
-            if self.open() < MOST_FIRST {
-                self.launch(Reason::First, now, cx, actions);
-            }
-            return;
-        }
-        let unproven = !self.spec.proven && self.slots[shard].open.len() >= MOST_FIRST;
-        let marked = cx.level != Level::Clear;
-        let off = cx.budget.is_overloaded(now) || unproven || marked;
-        if off || !self.has_idle(shard, now, cx) {
-            return;
-        }
-        if cx.budget.spend() && !self.send(shard, Reason::Hedge, now, cx, actions) {
-            cx.budget.refund();
-        }
-    }
-
-    /// Whether some replica that was not tried has no calls queued.
-    fn has_idle<R: Rng>(&self, shard: usize, now: Time, cx: &Context<'_, R>) -> bool {
-        let tried = &self.slots[shard].tried;
-        let idle = |id: &TargetId| !tried.contains(id) && !cx.fleet.seen(*id).is_full(now);
-        self.spec.service.shards[shard].iter().any(idle)
-    }
-
-    /// Point at which something must be decided without a reply.
-    #[must_use]
-    pub fn wake_at(&self, now: Time) -> Time {
-        let mut wake = self.end();
-        for slot in &self.slots {
-            if let Some(at) = slot.wake_at() {
-                wake = wake.min(at);
-            }
-        }
-        let patience = self.patience_end();
-        if self.is_partial_accepted() && patience > now {
-            wake = wake.min(patience);
-        }
-        wake.max(now)
-    }
-
-    fn is_partial_accepted(&self) -> bool {
-        (1..100).contains(&self.spec.least)
-    }
-
-    /// Point at which an answer with enough coverage waits no longer.
-    fn patience_end(&self) -> Time {
-        let sent = self.slots.iter().filter(|s| !s.is_settled());
-        let last = sent.filter_map(|s| s.open.iter().map(|o| o.at).min()).max();
-        match last {
-            Some(last) if !self.probing => last + self.spec.hedge * PATIENCE,
-            _ => self.end(),
-        }
-    }
-
-    /// The verdict, once every shard is settled, enough of them are, too many
-    /// failed, or time has run out.
-    pub fn verdict(&mut self, now: Time) -> Option<Verdict> {
-        let total = self.slots.len();
-        let failed = self.slots.iter().filter(|s| s.is_failed()).count();
-        let settled = self.slots.iter().filter(|s| s.is_settled()).count();
-        let reached = settled - failed;
-        let hopeless = !self.covers(total - failed, total);
-        let patient =
-            self.is_partial_accepted() && self.covers(reached, total) && now >= self.patience_end();
-        let done = settled == total || hopeless || patient || now >= self.end();
-        if !done {
-            return None;
-        }
-        Some(if self.covers(reached, total) {
-            Verdict::Answer(self.merge(reached, total))
-        } else {
-            self.refuse(reached, total)
-        })
-    }
-
-    fn covers(&self, reached: usize, total: usize) -> bool {
-        reached > 0 && reached * 100 >= usize::from(self.spec.least) * total
-    }
-
-    fn refuse(&self, reached: usize, total: usize) -> Verdict {
-        let mut ran = Ran::NotRun;
-        if self.ran || self.open() > 0 {
-            ran = Ran::Unknown;
-        }
-        let missing = self.slots.iter().filter(|s| s.reply.is_none());
-        let failures = missing.map(|s| s.failure.unwrap_or(Failure::TimedOut));
-        Verdict::Refused {
-            ran,
-            failure: failures
-                .max_by_key(|f| weight(*f))
-                .unwrap_or(Failure::TimedOut),
-            reached: (reached, total),
-        }
-    }
-
-    fn merge(&mut self, reached: usize, total: usize) -> Merged {
-        let mut merged = Merged {
-            snapshot: self.snapshot,
-            reached,
-            total,
-            ..Merged::default()
-        };
-        for (shard, slot) in self.slots.iter_mut().enumerate() {
-            match slot.reply.take() {
-                Some((lots, body)) => {
-                    merged.lots.extend(lots);
-                    merged.body = body;
-                }
-                None => merged.missing.push(Missing {
-                    shard: ShardIx(u16::try_from(shard).unwrap_or(u16::MAX)),
-                    failure: slot.failure.unwrap_or(Failure::TimedOut),
-                }),
-            }
-        }
-        merged.finish(self.spec.limit);
-        merged
-    }
-}
-
-/// Whether another attempt cannot end better.
-const fn is_final(failure: Failure) -> bool {
-    matches!(failure, Failure::Marked | Failure::Expired)
 }
 
-/// Whether such a failure, when not run, cost its target nothing, so that
-/// another attempt is no extra load.
-const fn is_unsent(failure: Failure) -> bool {
-    matches!(
-        failure,
-        Failure::NotOwner
-            | Failure::DomainOut
-            | Failure::NoConnection
-            | Failure::StaleEpoch
-            | Failure::Draining
-    )
+fn index(shard: usize) -> ShardIx {
+    ShardIx(u16::try_from(shard).unwrap_or(u16::MAX))
 }
