--- a/crates/bench/src/tail.rs
+++ b/crates/bench/src/tail.rs
@@ -31,7 +31,8 @@
     trials
 }
 
-fn slow_calls(cell: &Cell) {
+/// Makes one call in a hundred slow.
+pub fn slow_calls(cell: &Cell) {
     for searcher in cell.searchers.values() {
         searcher.change(|settings| {
             settings.stragglers = Stragglers {
@@ -42,7 +43,8 @@
     }
 }
 
-fn slow_replica(cell: &Cell) {
+/// Makes one replica of the first service slow.
+pub fn slow_replica(cell: &Cell) {
     let shards = cell.shards(cell.plan.services[0].name);
     cell.searchers[&shards[0][0]].change(|settings| settings.slowness = SLOW);
 }
