Entries leave a draining target out for a minute

Cause: a new owner starts without knowledge of its target, and an entry that knew of the drain still asked it to send. Change: entries do not choose a target that reported or refused as draining a minute ago or less.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
-use heatherrun_kernel::message::{Failure, OwnerReport};
+use heatherrun_kernel::message::{Failure, OwnerReport, Warmth};
 use heatherrun_kernel::time::micros;
 use heatherrun_kernel::{Snapshot, TargetId, Time};
 use rand::{Rng, RngExt};
@@ -35,12 +35,16 @@
 /// as a drain or a lost connection.
 const GONE_SPAN: Duration = Duration::from_millis(500);
 
+/// Time for which a target that drains is not asked at all.
+const DRAIN_SPAN: Duration = Duration::from_mins(1);
+
 /// What one entry has seen of one target.
 #[derive(Debug, Default)]
 pub struct Seen {
     latency_us: AtomicU64,
     updated: AtomicU64,
     avoid_until: AtomicU64,
+    drain_until: AtomicU64,
     open: AtomicU32,
     waiting: AtomicU32,
     limit: AtomicU32,
@@ -86,6 +90,16 @@
         now.0 < self.avoid_until.load(Ordering::Relaxed)
     }
 
+    /// Whether the target said a short while ago that it drains.
+    fn is_draining(&self, now: Time) -> bool {
+        now.0 < self.drain_until.load(Ordering::Relaxed)
+    }
+
+    fn note_drain(&self, now: Time) {
+        let until = (now + DRAIN_SPAN).0;
+        self.drain_until.store(until, Ordering::Relaxed);
+    }
+
     /// Whether more calls queue at the target's owner than are in flight.
     #[must_use]
     pub fn is_full(&self, now: Time) -> bool {
@@ -113,6 +127,9 @@
         self.open.fetch_sub(1, Ordering::Relaxed);
         self.average(now, took);
         self.note(report);
+        if report.target.warmth == Warmth::Draining {
+            self.note_drain(now);
+        }
     }
 
     /// Counts a call that failed.
@@ -123,8 +140,8 @@
         }
         let span = match failure {
             Failure::Busy => BUSY_SPAN,
-            Failure::Draining
-            | Failure::DomainOut
+            Failure::Draining => return self.note_drain(now),
+            Failure::DomainOut
             | Failure::NoConnection
             | Failure::ConnectionLost
             | Failure::PeerLost => GONE_SPAN,
@@ -222,6 +239,7 @@
 
     /// Chooses one of `candidates`: the cheaper of two taken at random,
     /// among those that may hold `snapshot` and did not fail a moment ago.
+    /// Targets that drain are left out.
     pub fn choose(
         &self,
         now: Time,
@@ -229,7 +247,8 @@
         snapshot: Snapshot,
         rng: &mut impl Rng,
     ) -> Option<TargetId> {
-        let seen: Vec<_> = candidates.iter().map(|id| (*id, self.seen(*id))).collect();
+        let mut seen: Vec<_> = candidates.iter().map(|id| (*id, self.seen(*id))).collect();
+        seen.retain(|(_, s)| !s.is_draining(now));
         let holding = |(_, s): &&(TargetId, Arc<Seen>)| s.may_hold(snapshot);
         let ready = |(_, s): &&(TargetId, Arc<Seen>)| !s.is_avoided(now);
         let mut pool: Vec<_> = seen.iter().filter(holding).filter(ready).collect();
