--- a/crates/tier/tests/request.rs
+++ b/crates/tier/tests/request.rs
@@ -1,7 +1,6 @@
 //! Requests through a whole tier: once-only requests, requests that crash
 //! targets, truth and promptness of refusals.
 
-#[allow(dead_code)]
 mod common;
 
 use std::time::Duration;
