A leaving target gets no call to find out whether it came back

Cause: the gate probed a draining target with a real call, and a new owner, which knows nothing of its predecessor's, sent it a first one. Change: the port to targets reads a target's report without giving it work; a new owner reads it before its first call, and a draining target is probed by its report alone. A report never makes a target warm. Conclusion: asking for a report costs one exchange for each taken unit.

--- a/crates/bench/benches/scale.rs
+++ b/crates/bench/benches/scale.rs
@@ -314,6 +314,7 @@
         let targets = Targets {
             call: async_fn(|_| async { Err(CallError::not_run(Failure::NoConnection)) }),
             cancel: async_fn(|_| async {}),
+            report: async_fn(|_| async { None }),
         };
         let platform = self.store.platform();
         let own = self.nodes[0].clone();
--- a/crates/bench/src/links.rs
+++ b/crates/bench/src/links.rs
@@ -111,6 +111,7 @@
     #[must_use]
     pub fn targets(self: &Arc<Self>, domain: DomainId) -> Targets {
         let (calls, cancels) = (Arc::clone(self), Arc::clone(self));
+        let reports = Arc::clone(self);
         Targets {
             call: async_fn(move |(_, call)| {
                 let links = Arc::clone(&calls);
@@ -120,6 +121,16 @@
                 let links = Arc::clone(&cancels);
                 async move { links.cancel(domain, target, id).await }
             }),
+            report: async_fn(move |(_, target)| {
+                let links = Arc::clone(&reports);
+                async move {
+                    let place = links.targets.get(&target)?;
+                    links.hop(domain, place.domain).await;
+                    let report = place.searcher.report();
+                    links.hop(place.domain, domain).await;
+                    Some(report)
+                }
+            }),
         }
     }
 
--- a/crates/fakes/src/mesh.rs
+++ b/crates/fakes/src/mesh.rs
@@ -242,6 +242,7 @@
 
     fn targets(&self, node: NodeId, gate: &Arc<Gate>) -> Targets {
         let (links, gate) = (Arc::clone(&self.links), Arc::clone(gate));
+        let reports = Arc::clone(&self.links);
         Targets {
             call: async_fn(move |(_, call)| {
                 let (links, gate) = (Arc::clone(&links), Arc::clone(&gate));
@@ -251,6 +252,10 @@
                 }
             }),
             cancel: async_fn(|_| async {}),
+            report: async_fn(move |(_, target)| {
+                let found = lock(&reports).searchers.get(&target).cloned();
+                async move { found.map(|(searcher, _)| searcher.report()) }
+            }),
         }
     }
 
--- a/crates/kernel/src/port.rs
+++ b/crates/kernel/src/port.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::control::{Answer, Ask};
-use crate::message::{Batch, BatchReply, CallResult, Cancel, Collect, TargetCall};
+use crate::message::{Batch, BatchReply, CallResult, Cancel, Collect, TargetCall, TargetReport};
 use crate::{CallId, Revision, TargetId};
 
 /// One asynchronous function kept in a struct.
@@ -40,6 +40,9 @@
     pub call: AsyncFn<(Endpoint, TargetCall), CallResult>,
     /// Tells a target to stop working on a call.
     pub cancel: AsyncFn<(Endpoint, TargetId, CallId), ()>,
+    /// Reads what a target reports of itself, without giving it work; none
+    /// when it does not answer soon.
+    pub report: AsyncFn<(Endpoint, TargetId), Option<TargetReport>>,
 }
 
 /// Failure of a message to a peer.
--- a/crates/matrix/src/net.rs
+++ b/crates/matrix/src/net.rs
@@ -10,7 +10,7 @@
 use heatherrun_fakes::store::Store;
 use heatherrun_kernel::control::{Answer, Ask, Item};
 use heatherrun_kernel::message::{Batch, BatchReply, CallError, CallResult, Failure, TargetCall};
-use heatherrun_kernel::message::{Ran, Warmth};
+use heatherrun_kernel::message::{Ran, TargetReport, Warmth};
 use heatherrun_kernel::port::{PeerError, Peers, Platform, StoreCall, StoreError, StoreReply};
 use heatherrun_kernel::port::{Targets, async_fn};
 use heatherrun_kernel::{CallId, Clock, DomainId, TargetId};
@@ -125,6 +125,7 @@
     #[must_use]
     pub fn targets(self: &Arc<Self>, from: usize) -> Targets {
         let (calls, cancels) = (Arc::clone(self), Arc::clone(self));
+        let reports = Arc::clone(self);
         Targets {
             call: async_fn(move |(_, call)| {
                 let net = Arc::clone(&calls);
@@ -137,7 +138,21 @@
                     lock(&net.running).remove(&id);
                 }
             }),
+            report: async_fn(move |(_, target)| {
+                let net = Arc::clone(&reports);
+                async move { net.report(target).await }
+            }),
+        }
+    }
+
+    async fn report(&self, target: TargetId) -> Option<TargetReport> {
+        tokio::time::sleep(HOP * 2).await;
+        let spot = self.targets.get(&target)?;
+        let mut report = spot.searcher.report();
+        if spot.leaving.load(std::sync::atomic::Ordering::Relaxed) {
+            report.warmth = Warmth::Draining;
         }
+        Some(report)
     }
 
     async fn call(&self, from: usize, call: TargetCall) -> CallResult {
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -140,11 +140,8 @@
         if ask.deadline <= now {
             return Step::Refuse(Failure::Expired);
         }
-        if let Some(drain) = self.drain {
-            if now < drain.probe_at || !self.flying.is_empty() {
-                return Step::Refuse(Failure::Draining);
-            }
-            self.limit.turn_cold();
+        if self.drain.is_some() {
+            return Step::Refuse(Failure::Draining);
         }
         let overdue = self.overdue(now);
         self.limit.check_jump(overdue);
@@ -264,6 +261,32 @@
         self.limit.check_jump(overdue);
     }
 
+    /// Whether the report of a draining target should be read now. A target
+    /// that leaves gets no call to find out whether it came back.
+    pub fn probe_due(&mut self, now: Time) -> bool {
+        let Some(drain) = &mut self.drain else {
+            return false;
+        };
+        let due = now >= drain.probe_at;
+        if due {
+            drain.wait = (drain.wait * 2).min(MOST_PROBE);
+            drain.probe_at = now + drain.wait;
+        }
+        due
+    }
+
+    /// Takes what the target reports without a call. A report never makes a
+    /// target warm.
+    pub fn reported(&mut self, now: Time, report: &TargetReport) {
+        self.note_drain(now, report.warmth == Warmth::Draining);
+        if report.warmth == Warmth::Cold {
+            self.limit.turn_cold();
+        }
+        if self.drain.is_none() {
+            self.report = *report;
+        }
+    }
+
     fn note_drain(&mut self, now: Time, draining: bool) {
         if !draining {
             if self.drain.take().is_some() {
--- a/crates/ports/src/target.rs
+++ b/crates/ports/src/target.rs
@@ -4,7 +4,9 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use heatherrun_kernel::message::{CallError, CallKind, CallResult, Failure, TargetCall};
+use heatherrun_kernel::message::{
+    CallError, CallKind, CallResult, Failure, TargetCall, TargetReport,
+};
 use heatherrun_kernel::port::{Endpoint, Targets, async_fn};
 use heatherrun_kernel::registry::{Make, Plugin, inventory};
 use heatherrun_kernel::time::micros;
@@ -25,6 +27,9 @@
 /// Connections kept free for cancellations.
 const SPARE: usize = 1;
 
+/// Longest wait for a target's report.
+const REPORT_TIME: Duration = Duration::from_millis(200);
+
 /// Longest wait for the answer to a cancellation.
 const CANCEL_TIME: Duration = Duration::from_millis(200);
 
@@ -32,7 +37,7 @@
 #[must_use]
 pub fn targets() -> Targets {
     let client = Arc::new(Client::default());
-    let canceller = Arc::clone(&client);
+    let (canceller, reader) = (Arc::clone(&client), Arc::clone(&client));
     Targets {
         call: async_fn(move |(endpoint, call)| {
             let client = Arc::clone(&client);
@@ -42,6 +47,10 @@
             let client = Arc::clone(&canceller);
             async move { cancel(&client, endpoint, target, id).await }
         }),
+        report: async_fn(move |(endpoint, _)| {
+            let client = Arc::clone(&reader);
+            async move { report(&client, endpoint).await }
+        }),
     }
 }
 
@@ -167,6 +176,18 @@
     let _ = client.exchange(route, request, |_| true).await;
 }
 
+async fn report(client: &Client, endpoint: Endpoint) -> Option<TargetReport> {
+    let request = post("/report", &HeaderValue::from_static("0"), Bytes::new());
+    let route = Route {
+        address: endpoint.address,
+        connections: share(endpoint),
+        reply: REPLY_BYTES,
+        left: REPORT_TIME,
+    };
+    let reply = client.exchange(route, request, |_| true).await.ok()?;
+    serde_json::from_slice(reply.body()).ok()
+}
+
 inventory::submit! {
     Plugin {
         name: "http",
--- a/crates/standins/src/searcher.rs
+++ b/crates/standins/src/searcher.rs
@@ -72,6 +72,10 @@
         running.remove(&id);
         return respond(StatusCode::OK, Bytes::new());
     }
+    if received.head.uri.path() == "/report" {
+        let body = serde_json::to_vec(&searcher.report()).unwrap_or_default();
+        return respond(StatusCode::OK, body.into());
+    }
     let mut call = parse(&received);
     if !intake.fenced {
         call.epoch = Epoch(0);
--- a/crates/tier/src/lane.rs
+++ b/crates/tier/src/lane.rs
@@ -3,17 +3,21 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use heatherrun_kernel::message::{CallError, CallResult, Failure, OwnerReport};
-use heatherrun_kernel::port::Endpoint;
+use heatherrun_kernel::port::{Endpoint, Targets};
 use heatherrun_kernel::view::Target;
 use heatherrun_kernel::{CallId, Clock, Time};
 use heatherrun_policy::gate::{Ask, Bounds, Gate, Step};
 use heatherrun_policy::limit::BEARS_FACTOR;
 use heatherrun_policy::proof::Proofs;
-use tokio::sync::oneshot;
+use tokio::sync::{OnceCell, oneshot};
+
+/// Longest wait for a target's report.
+const PROBE_TIME: Duration = Duration::from_millis(50);
 
 /// Tells a waiting call that it may be sent, or why not.
 type Turn = oneshot::Sender<Result<(), Failure>>;
@@ -25,6 +29,8 @@
     state: Mutex<State>,
     /// Fingerprints that succeeded on this target.
     pub proofs: Proofs,
+    /// Set once the target's report was asked for, before the first call.
+    asked: OnceCell<()>,
 }
 
 struct State {
@@ -44,6 +50,7 @@
             target: ArcSwap::new(target),
             state: Mutex::new(state),
             proofs: Proofs::default(),
+            asked: OnceCell::new(),
         }
     }
 
@@ -85,6 +92,28 @@
         self.lock().gate.report()
     }
 
+    /// Asks the target for its report before the first call, so that a new
+    /// owner gives no work to a target that is leaving.
+    pub async fn ready(&self, targets: &Targets) {
+        self.asked.get_or_init(|| self.probe(targets)).await;
+    }
+
+    /// Whether the report of a draining target should be read now.
+    pub fn probe_due(&self) -> bool {
+        self.lock().gate.probe_due(self.clock.now())
+    }
+
+    /// Reads the target's report.
+    pub async fn probe(&self, targets: &Targets) {
+        let id = self.target.load().id;
+        let asked = (targets.report)((self.endpoint(), id));
+        if let Ok(Some(report)) = tokio::time::timeout(PROBE_TIME, asked).await {
+            let mut state = self.lock();
+            state.gate.reported(self.clock.now(), &report);
+            self.advance(&mut state);
+        }
+    }
+
     /// Waits for a place on the target, of whose limit `share` per cent may
     /// be used.
     pub async fn enter(&self, ask: Ask, share: u8) -> Result<(), CallError> {
--- a/crates/tier/src/owner.rs
+++ b/crates/tier/src/owner.rs
@@ -301,7 +301,13 @@
             class: run.batch.class,
             deadline: run.deadline,
         };
-        lane.enter(ask, right.share).await?;
+        lane.ready(&self.targets).await;
+        let entered = lane.enter(ask, right.share).await;
+        if entered.is_err() && lane.probe_due() {
+            let (owner, lane) = (Arc::clone(self), Arc::clone(lane));
+            tokio::spawn(async move { lane.probe(&owner.targets).await });
+        }
+        entered?;
         let right = match self.check(lane, run) {
             Ok(right) => right,
             Err(failure) => {
