The time is looked at once more right before a call is written

Cause: a node that stood still while a connection was made sent a call whose deadline had passed; the fault matrix saw two cells with work on a leaving target 9 s late (node-pause at sent-to-owner, sent-to-target). Change: the HTTP client checks the deadline between taking a connection and writing; the matrix' links do the same as the adapter. Conclusion: what is left is a pause within the write itself.

--- a/crates/matrix/src/net.rs
+++ b/crates/matrix/src/net.rs
@@ -160,7 +160,7 @@
         let Some(target) = self.targets.get(&call.target) else {
             return Err(CallError::not_run(Failure::NoConnection));
         };
-        self.gates[from].pass().await.map_err(|_| lost)?;
+        let end = self.clock.now() + call.left;
         let place = Place {
             node: from,
             target: Some(call.target),
@@ -173,6 +173,11 @@
                 _ => {}
             }
         }
+        self.gates[from].pass().await.map_err(|_| lost)?;
+        // As the adapter: the time is looked at right before the send.
+        if self.clock.now() >= end {
+            return Err(CallError::not_run(Failure::Expired));
+        }
         tokio::time::sleep(HOP).await;
         let mut result = self.run(target, call, place, is_marked).await;
         if is_marked {
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -114,6 +114,10 @@
         loop {
             let taken = tokio::time::timeout_at(end, pool.take(route)).await;
             let (mut link, kept) = taken.map_err(|_| ExchangeError::Expired)??;
+            // The process may have stood still while a connection was made.
+            if Instant::now() >= end {
+                return Err(ExchangeError::Expired);
+            }
             let sent = tokio::time::timeout_at(end, link.send(request, route.reply)).await;
             match sent.map_err(|_| ExchangeError::TimedOut)? {
                 Sent::Unsent(again) if kept => request = again,
