A node that gets a target back reads its report and starts slowly again

Cause: a node that stood still lost a target, got it back, and went on with the limit and the warmth it remembered; the fault matrix saw work on a leaving target right after it woke. Change: the report is read and the limit starts at one under each new generation of the right. Conclusion: what an owner knows of a target ends with its right.

--- a/crates/tier/src/lane.rs
+++ b/crates/tier/src/lane.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -10,11 +13,11 @@
 use heatherrun_kernel::message::{CallError, CallResult, Failure, OwnerReport};
 use heatherrun_kernel::port::{Endpoint, Targets};
 use heatherrun_kernel::view::Target;
-use heatherrun_kernel::{CallId, Clock, Time};
+use heatherrun_kernel::{CallId, Clock, Epoch, Time};
 use heatherrun_policy::gate::{Ask, Bounds, Gate, Step};
 use heatherrun_policy::limit::BEARS_FACTOR;
 use heatherrun_policy::proof::Proofs;
-use tokio::sync::{OnceCell, oneshot};
+use tokio::sync::oneshot;
 
 /// Longest wait for a target's report.
 const PROBE_TIME: Duration = Duration::from_millis(50);
@@ -29,8 +32,10 @@
     state: Mutex<State>,
     /// Fingerprints that succeeded on this target.
     pub proofs: Proofs,
-    /// Set once the target's report was asked for, before the first call.
-    asked: OnceCell<()>,
+    /// Generation of the right under which the target's report was read.
+    asked: AtomicU64,
+    /// Held while the report is read.
+    asking: tokio::sync::Mutex<()>,
 }
 
 struct State {
@@ -50,7 +55,8 @@
             target: ArcSwap::new(target),
             state: Mutex::new(state),
             proofs: Proofs::default(),
-            asked: OnceCell::new(),
+            asked: AtomicU64::new(0),
+            asking: tokio::sync::Mutex::default(),
         }
     }
 
@@ -92,10 +98,20 @@
         self.lock().gate.report()
     }
 
-    /// Asks the target for its report before the first call, so that a new
-    /// owner gives no work to a target that is leaving.
-    pub async fn ready(&self, targets: &Targets) {
-        self.asked.get_or_init(|| self.probe(targets)).await;
+    /// Reads the target's report before the first call under a new right, so
+    /// that a new owner, or one that held the target before, starts slowly and
+    /// gives no work to a target that is leaving.
+    pub async fn ready(&self, targets: &Targets, epoch: Epoch) {
+        if self.asked.load(Ordering::Acquire) == epoch.0 {
+            return;
+        }
+        let _asking = self.asking.lock().await;
+        if self.asked.load(Ordering::Acquire) == epoch.0 {
+            return;
+        }
+        self.lock().gate.turn_cold();
+        self.probe(targets).await;
+        self.asked.store(epoch.0, Ordering::Release);
     }
 
     /// Whether the report of a draining target should be read now.
--- a/crates/tier/src/owner.rs
+++ b/crates/tier/src/owner.rs
@@ -301,7 +301,7 @@
             class: run.batch.class,
             deadline: run.deadline,
         };
-        lane.ready(&self.targets).await;
+        lane.ready(&self.targets, right.epoch).await;
         let entered = lane.enter(ask, right.share).await;
         if entered.is_err() && lane.probe_due() {
             let (owner, lane) = (Arc::clone(self), Arc::clone(lane));
