--- a/crates/tier/src/owner.rs
+++ b/crates/tier/src/owner.rs
@@ -319,7 +319,13 @@
             class: run.batch.class,
             deadline: run.deadline,
         };
-        lane.enter(ask, right.share).await?;
+        lane.ready(&self.targets, right.epoch).await;
+        let entered = lane.enter(ask, right.share).await;
+        if entered.is_err() && lane.probe_due() {
+            let (owner, lane) = (Arc::clone(self), Arc::clone(lane));
+            tokio::spawn(async move { lane.probe(&owner.targets).await });
+        }
+        entered?;
         let right = match self.check(lane, run) {
             Ok(right) => right,
             Err(failure) => {
