--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -14,12 +14,11 @@
 /// Calls that may wait at a target with a small limit.
 const LEAST_QUEUE: usize = 4;
 
-/// Time after which a draining target is tried with one call. By then one
-/// that leaves is gone, and one that answers was started again.
-const DRAIN_PROBE: Duration = Duration::from_mins(1);
+/// Time after which a draining target is tried with one call.
+const DRAIN_PROBE: Duration = Duration::from_secs(10);
 
 /// Longest time between two such tries.
-const MOST_PROBE: Duration = Duration::from_mins(8);
+const MOST_PROBE: Duration = Duration::from_secs(80);
 
 /// A call that asks for a place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,12 +110,8 @@
         self.share = share;
     }
 
-    /// Takes bounds as configured anew; what is in flight stays counted. A
-    /// target that drained is tried again.
+    /// Takes bounds as configured anew; what is in flight stays counted.
     pub fn rebound(&mut self, bounds: Bounds) {
-        if self.drain.take().is_some() {
-            self.limit.turn_cold();
-        }
         self.limit.rebound(bounds.slots, bounds.most);
     }
 
@@ -145,11 +140,8 @@
         if ask.deadline <= now {
             return Step::Refuse(Failure::Expired);
         }
-        if let Some(drain) = self.drain {
-            if now < drain.probe_at || !self.flying.is_empty() {
-                return Step::Refuse(Failure::Draining);
-            }
-            self.limit.turn_cold();
+        if self.drain.is_some() {
+            return Step::Refuse(Failure::Draining);
         }
         if self.limit() == 0 {
             return Step::Refuse(Failure::NotOwner);
@@ -283,6 +275,32 @@
         self.limit.check_jump(overdue);
     }
 
+    /// Whether the report of a draining target should be read now. A target
+    /// that leaves gets no call to find out whether it came back.
+    pub fn probe_due(&mut self, now: Time) -> bool {
+        let Some(drain) = &mut self.drain else {
+            return false;
+        };
+        let due = now >= drain.probe_at;
+        if due {
+            drain.wait = (drain.wait * 2).min(MOST_PROBE);
+            drain.probe_at = now + drain.wait;
+        }
+        due
+    }
+
+    /// Takes what the target reports without a call. A report never makes a
+    /// target warm.
+    pub fn reported(&mut self, now: Time, report: &TargetReport) {
+        self.note_drain(now, report.warmth == Warmth::Draining);
+        if report.warmth == Warmth::Cold {
+            self.limit.turn_cold();
+        }
+        if self.drain.is_none() {
+            self.report = *report;
+        }
+    }
+
     fn note_drain(&mut self, now: Time, draining: bool) {
         if !draining {
             if self.drain.take().is_some() {
--- a/crates/tier/src/lane.rs
+++ b/crates/tier/src/lane.rs
@@ -2,18 +2,25 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use heatherrun_kernel::message::{CallError, CallResult, Failure, OwnerReport};
-use heatherrun_kernel::port::Endpoint;
+use heatherrun_kernel::port::{Endpoint, Targets};
 use heatherrun_kernel::view::Target;
-use heatherrun_kernel::{CallId, Clock, Time};
+use heatherrun_kernel::{CallId, Clock, Epoch, Time};
 use heatherrun_policy::gate::{Ask, Bounds, Gate, Step};
 use heatherrun_policy::proof::Proofs;
 use tokio::sync::oneshot;
 
+/// Longest wait for a target's report.
+const PROBE_TIME: Duration = Duration::from_millis(50);
+
 /// Tells a waiting call that it may be sent, or why not.
 type Turn = oneshot::Sender<Result<(), Failure>>;
 
@@ -27,6 +34,10 @@
     state: Mutex<State>,
     /// Fingerprints that succeeded on this target.
     pub proofs: Proofs,
+    /// Generation of the right under which the target's report was read.
+    asked: AtomicU64,
+    /// Held while the report is read.
+    asking: tokio::sync::Mutex<()>,
 }
 
 struct State {
@@ -46,6 +57,8 @@
             target: ArcSwap::new(target),
             state: Mutex::new(state),
             proofs: Proofs::default(),
+            asked: AtomicU64::new(0),
+            asking: tokio::sync::Mutex::default(),
         }
     }
 
@@ -87,6 +100,38 @@
         self.lock().gate.report()
     }
 
+    /// Reads the target's report before the first call under a new right, so
+    /// that a new owner, or one that held the target before, starts slowly and
+    /// gives no work to a target that is leaving.
+    pub async fn ready(&self, targets: &Targets, epoch: Epoch) {
+        if self.asked.load(Ordering::Acquire) == epoch.0 {
+            return;
+        }
+        let _asking = self.asking.lock().await;
+        if self.asked.load(Ordering::Acquire) == epoch.0 {
+            return;
+        }
+        self.lock().gate.turn_cold();
+        self.probe(targets).await;
+        self.asked.store(epoch.0, Ordering::Release);
+    }
+
+    /// Whether the report of a draining target should be read now.
+    pub fn probe_due(&self) -> bool {
+        self.lock().gate.probe_due(self.clock.now())
+    }
+
+    /// Reads the target's report.
+    pub async fn probe(&self, targets: &Targets) {
+        let id = self.target.load().id;
+        let asked = (targets.report)((self.endpoint(), id));
+        if let Ok(Some(report)) = tokio::time::timeout(PROBE_TIME, asked).await {
+            let mut state = self.lock();
+            state.gate.reported(self.clock.now(), &report);
+            self.advance(&mut state);
+        }
+    }
+
     /// Waits for a place on the target, of whose limit `share` per cent may
     /// be used.
     pub async fn enter(&self, ask: Ask, share: u8) -> Result<(), CallError> {
