--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -12,7 +12,7 @@
 const QUEUE_FACTOR: usize = 4;
 
 /// Calls that may wait at a target with a small limit.
-const LEAST_QUEUE: usize = 8;
+const LEAST_QUEUE: usize = 4;
 
 /// Time after which a draining target is tried with one call.
 const DRAIN_PROBE: Duration = Duration::from_secs(10);
@@ -140,11 +140,11 @@
         if ask.deadline <= now {
             return Step::Refuse(Failure::Expired);
         }
-        if let Some(drain) = self.drain {
-            if now < drain.probe_at || !self.flying.is_empty() {
-                return Step::Refuse(Failure::Draining);
-            }
-            self.limit.turn_cold();
+        if self.drain.is_some() {
+            return Step::Refuse(Failure::Draining);
+        }
+        if self.limit() == 0 {
+            return Step::Refuse(Failure::NotOwner);
         }
         let overdue = self.overdue(now);
         self.limit.check_jump(overdue);
@@ -209,6 +209,8 @@
         let first = *first;
         let verdict = if self.drain.is_some() {
             Err(Failure::Draining)
+        } else if self.limit() == 0 {
+            Err(Failure::NotOwner)
         } else if first.deadline <= now {
             Err(Failure::Expired)
         } else if self.has_place(now) {
@@ -223,6 +225,14 @@
         Some((first.id, verdict))
     }
 
+    /// When [`Gate::next`] may return a call though none ended meanwhile.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<Time> {
+        let open = self.flying.len() < usize::from(self.limit());
+        let paced = open && !self.queue.is_empty();
+        paced.then(|| self.limit.token_at())
+    }
+
     /// Takes a waiting call out; false when it does not wait.
     pub fn withdraw(&mut self, id: CallId) -> bool {
         let before = self.queue.len();
@@ -250,6 +260,7 @@
                     beside: flight.beside,
                     flying,
                     warmth: reply.report.warmth,
+                    busy: reply.report.busy,
                 });
                 self.note_drain(now, reply.report.warmth == Warmth::Draining);
             }
@@ -264,6 +275,32 @@
         self.limit.check_jump(overdue);
     }
 
+    /// Whether the report of a draining target should be read now. A target
+    /// that leaves gets no call to find out whether it came back.
+    pub fn probe_due(&mut self, now: Time) -> bool {
+        let Some(drain) = &mut self.drain else {
+            return false;
+        };
+        let due = now >= drain.probe_at;
+        if due {
+            drain.wait = (drain.wait * 2).min(MOST_PROBE);
+            drain.probe_at = now + drain.wait;
+        }
+        due
+    }
+
+    /// Takes what the target reports without a call. A report never makes a
+    /// target warm.
+    pub fn reported(&mut self, now: Time, report: &TargetReport) {
+        self.note_drain(now, report.warmth == Warmth::Draining);
+        if report.warmth == Warmth::Cold {
+            self.limit.turn_cold();
+        }
+        if self.drain.is_none() {
+            self.report = *report;
+        }
+    }
+
     fn note_drain(&mut self, now: Time, draining: bool) {
         if !draining {
             if self.drain.take().is_some() {
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -94,9 +94,19 @@
 #[derive(Default)]
 pub struct Client {
     pools: ArcSwap<HashMap<SocketAddr, Arc<Pool>>>,
+    unkept: bool,
 }
 
 impl Client {
+    /// Client that closes each connection after its first reply.
+    #[must_use]
+    pub fn unkept() -> Self {
+        Self {
+            unkept: true,
+            ..Self::default()
+        }
+    }
+
     /// Sends a request over an idle connection or a new one, and reads the
     /// whole reply. The connection is kept only if `own` finds that the reply
     /// belongs to the request.
@@ -114,6 +124,10 @@
         loop {
             let taken = tokio::time::timeout_at(end, pool.take(route)).await;
             let (mut link, kept) = taken.map_err(|_| ExchangeError::Expired)??;
+            // The process may have stood still while a connection was made.
+            if Instant::now() >= end {
+                return Err(ExchangeError::Expired);
+            }
             let sent = tokio::time::timeout_at(end, link.send(request, route.reply)).await;
             match sent.map_err(|_| ExchangeError::TimedOut)? {
                 Sent::Unsent(again) if kept => request = again,
@@ -123,7 +137,9 @@
                     if !own(&reply) {
                         return Err(ExchangeError::BadReply);
                     }
-                    pool.put_back(link);
+                    if !self.unkept {
+                        pool.put_back(link);
+                    }
                     return Ok(reply);
                 }
             }
--- a/crates/ports/src/target.rs
+++ b/crates/ports/src/target.rs
@@ -4,7 +4,9 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use heatherrun_kernel::message::{CallError, CallKind, CallResult, Failure, TargetCall};
+use heatherrun_kernel::message::{
+    CallError, CallKind, CallResult, Failure, TargetCall, TargetReport,
+};
 use heatherrun_kernel::port::{Endpoint, Targets, async_fn};
 use heatherrun_kernel::registry::{Make, Plugin, inventory};
 use heatherrun_kernel::time::micros;
@@ -20,19 +22,32 @@
 const REPLY_BYTES: usize = 4 << 20;
 
 /// Headers of a call, with room for those the library adds.
-const HEADERS: usize = 16;
+const HEADERS: usize = 10;
 
 /// Connections kept free for cancellations.
 const SPARE: usize = 1;
 
+/// Longest wait for a target's report.
+const REPORT_TIME: Duration = Duration::from_millis(200);
+
 /// Longest wait for the answer to a cancellation.
 const CANCEL_TIME: Duration = Duration::from_millis(200);
 
 /// The port to targets over HTTP.
 #[must_use]
 pub fn targets() -> Targets {
-    let client = Arc::new(Client::default());
-    let canceller = Arc::clone(&client);
+    targets_over(Client::default())
+}
+
+/// The port to targets over HTTP that keeps no connection; for comparison.
+#[must_use]
+pub fn unkept_targets() -> Targets {
+    targets_over(Client::unkept())
+}
+
+fn targets_over(client: Client) -> Targets {
+    let client = Arc::new(client);
+    let (canceller, reader) = (Arc::clone(&client), Arc::clone(&client));
     Targets {
         call: async_fn(move |(endpoint, call)| {
             let client = Arc::clone(&client);
@@ -42,6 +57,10 @@
             let client = Arc::clone(&canceller);
             async move { cancel(&client, endpoint, target, id).await }
         }),
+        report: async_fn(move |(endpoint, _)| {
+            let client = Arc::clone(&reader);
+            async move { report(&client, endpoint).await }
+        }),
     }
 }
 
@@ -167,6 +186,18 @@
     let _ = client.exchange(route, request, |_| true).await;
 }
 
+async fn report(client: &Client, endpoint: Endpoint) -> Option<TargetReport> {
+    let request = post("/report", &HeaderValue::from_static("0"), Bytes::new());
+    let route = Route {
+        address: endpoint.address,
+        connections: share(endpoint),
+        reply: REPLY_BYTES,
+        left: REPORT_TIME,
+    };
+    let reply = client.exchange(route, request, |_| true).await.ok()?;
+    serde_json::from_slice(reply.body()).ok()
+}
+
 inventory::submit! {
     Plugin {
         name: "http",
