--- a/crates/bench/tests/experiments.rs
+++ b/crates/bench/tests/experiments.rs
@@ -102,6 +102,27 @@
     assert_eq!((t.refused, t.unknown), (0, 0));
 }
 
+#[test]
+#[ignore = "KNOWN-RED 4"]
+fn tail_slow_replica_costs_no_deadline_beside_other_services() {
+    let rows = run(&named(
+        tail::trials(1, SPAN * 2),
+        "kernwerk 60% a replica 10x",
+    ));
+    let t = &rows[0].tally;
+    assert_eq!(t.covered.0, t.covered.1);
+}
+
+#[test]
+#[ignore = "KNOWN-RED 5"]
+fn tail_stragglers_cost_bounded_extra_load_with_two_slots() {
+    let rows = run(&named(
+        tail::trials(1, SPAN * 2),
+        "cooperative 60% 1% of calls 10x",
+    ));
+    assert!(rows[0].tally.extra() <= EXTRA, "{}", rows[0].tally.extra());
+}
+
 #[test]
 fn cold_targets_get_what_they_bear() {
     for turn in ["quiet", "restarts", "both"] {
