--- a/crates/bench/tests/experiments.rs
+++ b/crates/bench/tests/experiments.rs
@@ -103,7 +103,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED 4"]
 fn tail_slow_replica_costs_no_deadline_beside_other_services() {
     let rows = run(&named(
         tail::trials(1, SPAN * 2),
@@ -114,7 +113,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED 5"]
 fn tail_stragglers_cost_bounded_extra_load_with_two_slots() {
     let rows = run(&named(
         tail::trials(1, SPAN * 2),
