--- a/crates/matrix/examples/one_cell.rs
+++ b/crates/matrix/examples/one_cell.rs
@@ -1,7 +1,7 @@
 //! Runs one cell and prints what it saw: `one_cell STEP FAULT`.
 
 use heatherrun_matrix::cell::cells;
-use heatherrun_matrix::run::run;
+use heatherrun_matrix::run::{Kind, run};
 
 fn main() {
     let names: Vec<String> = std::env::args().skip(1).collect();
@@ -11,7 +11,9 @@
     };
     for cell in cells() {
         if cell.step.name() == step && cell.fault.name() == fault {
-            println!("{:#?}", run(cell));
+            for kind in [Kind::Search, Kind::Once] {
+                println!("{kind:?}: {:#?}", run(cell, kind));
+            }
         }
     }
 }
--- a/crates/matrix/src/callers.rs
+++ b/crates/matrix/src/callers.rs
@@ -43,13 +43,26 @@
     }
 }
 
-/// Searches once; `least` is the coverage accepted, in per cent.
-pub async fn search(world: &Arc<World>, text: String, least: u32, turn: usize) -> Ending {
+/// How a search is sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Want {
+    /// Coverage accepted, in per cent.
+    pub least: u32,
+    /// Deadline; zero takes the service's.
+    pub deadline_ms: u32,
+    /// Turn of the caller, which picks the entry.
+    pub turn: usize,
+}
+
+/// Searches once.
+pub async fn search(world: &Arc<World>, text: String, want: Want) -> Ending {
+    let turn = want.turn;
     let ask = v1::SearchRequest {
         service: SHARDED.to_owned(),
         query: text,
         limit: ALL_LOTS,
-        min_coverage: least,
+        min_coverage: want.least,
+        deadline_ms: want.deadline_ms,
         ..v1::SearchRequest::default()
     };
     send(world, Sending::Search(ask), turn).await
--- a/crates/matrix/src/net.rs
+++ b/crates/matrix/src/net.rs
@@ -43,6 +43,8 @@
     pub domain: DomainId,
     /// Set when the target says it is leaving, though it still runs calls.
     pub leaving: Arc<std::sync::atomic::AtomicBool>,
+    /// Whether it answers from its newest snapshot, whatever was asked for.
+    pub newest: bool,
 }
 
 /// Injects a fault that is not of a message.
@@ -459,6 +461,9 @@
 /// Labels lots with their snapshot, and tells when the target leaves.
 fn label(result: CallResult, target: &Spot) -> CallResult {
     let mut reply = result?;
+    if target.newest {
+        reply.snapshot = reply.report.newest;
+    }
     for lot in &mut reply.lots {
         lot.id = format!("{}@{}", lot.id, reply.snapshot);
     }
--- a/crates/matrix/src/run.rs
+++ b/crates/matrix/src/run.rs
@@ -7,7 +7,7 @@
 use heatherrun_kernel::TargetId;
 use heatherrun_schema::v1::{self, Operator};
 
-use crate::callers;
+use crate::callers::{self, Want};
 use crate::cell::{Cell, Step};
 use crate::hook::{MARKED, Place};
 use crate::journal::{Accepted, Ending, InForce};
@@ -20,8 +20,14 @@
 /// Time from arming to the end: a change must be in force by then.
 const SPAN: Duration = Duration::from_secs(24);
 
-/// Time between two background searches.
-const BEAT: Duration = Duration::from_millis(60);
+/// Time between two bursts of background searches.
+const BEAT: Duration = Duration::from_millis(150);
+
+/// Searches of one burst.
+const BURST: usize = 4;
+
+/// Deadline in which few searches cover all shards, in milliseconds.
+const SHORT_MS: u32 = 22;
 
 /// Time between two looks at the revisions in force.
 const LOOK: Duration = Duration::from_millis(100);
@@ -32,6 +38,15 @@
 /// Tries of the last searches through one node.
 const LAST_TRIES: usize = 5;
 
+/// The request at which the steps of a request are hooked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A search.
+    Search,
+    /// A once-only request.
+    Once,
+}
+
 /// Result of one cell.
 #[derive(Clone, Debug)]
 pub struct Result {
@@ -48,31 +63,35 @@
 /// # Panics
 /// When the runtime cannot be made.
 #[must_use]
-pub fn run(cell: Cell) -> Result {
+pub fn run(cell: Cell, kind: Kind) -> Result {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
         .build()
         .expect("a runtime of one thread");
-    runtime.block_on(run_cell(cell))
+    runtime.block_on(run_cell(cell, kind))
 }
 
-async fn run_cell(cell: Cell) -> Result {
+async fn run_cell(cell: Cell, kind: Kind) -> Result {
     let world = World::start().await;
     tokio::spawn(background(Arc::clone(&world)));
     tokio::spawn(watch_force(Arc::clone(&world)));
     tokio::spawn(roll(Arc::clone(&world)));
     tokio::time::sleep(WARM_UP).await;
     world.net.hook.arm(cell);
+    let [text, once_text] = texts(kind);
     let searching = {
         let world = Arc::clone(&world);
-        tokio::spawn(
-            async move { callers::search(&world, format!("{MARKED}-search"), 100, 1).await },
-        )
+        let want = Want {
+            least: 100,
+            turn: 1,
+            ..Want::default()
+        };
+        tokio::spawn(async move { callers::search(&world, text, want).await })
     };
     let sending = {
         let world = Arc::clone(&world);
-        tokio::spawn(async move { callers::once(&world, format!("{MARKED}-once"), 1).await })
+        tokio::spawn(async move { callers::once(&world, once_text, 1).await })
     };
     if cell.step.is_control() {
         act(&world, cell).await;
@@ -95,6 +114,14 @@
     }
 }
 
+/// Texts of the search and of the once-only request; one of them is marked.
+fn texts(kind: Kind) -> [String; 2] {
+    match kind {
+        Kind::Search => [format!("{MARKED}-search"), "other-once".to_owned()],
+        Kind::Once => ["other-search".to_owned(), format!("{MARKED}-once")],
+    }
+}
+
 fn name(ending: Ending) -> &'static str {
     match ending {
         Ending::Answer(_) | Ending::Reply(_) => "ok",
@@ -187,14 +214,30 @@
 
 async fn background(world: Arc<World>) {
     for turn in 0.. {
-        let world = Arc::clone(&world);
-        tokio::spawn(
-            async move { callers::search(&world, format!("back-{turn}"), 50, turn).await },
-        );
+        for _ in 0..BURST {
+            let (world, want) = (Arc::clone(&world), want(turn));
+            tokio::spawn(
+                async move { callers::search(&world, format!("back-{turn}"), want).await },
+            );
+        }
         tokio::time::sleep(BEAT).await;
     }
 }
 
+/// Most searches take what they get; some have too little time.
+const fn want(turn: usize) -> Want {
+    let (least, deadline_ms) = match turn % 8 {
+        3 => (50, SHORT_MS),
+        5 => (100, SHORT_MS),
+        _ => (50, 0),
+    };
+    Want {
+        least,
+        deadline_ms,
+        turn,
+    }
+}
+
 async fn watch_force(world: Arc<World>) {
     loop {
         let at = world.net.clock.now();
--- a/crates/matrix/src/world.rs
+++ b/crates/matrix/src/world.rs
@@ -33,6 +33,9 @@
 /// Shards of the sharded service.
 pub const SHARDS: u16 = 6;
 
+/// Shard of which one replica answers from its newest snapshot.
+const NEWEST_SHARD: u16 = 2;
+
 /// The pooled service.
 pub const POOLED: &str = "recibos";
 
@@ -111,6 +114,7 @@
             searcher: Searcher::new(settings),
             domain: DomainId::of(domain),
             leaving: Arc::default(),
+            newest: shard == NEWEST_SHARD && domain == DOMAINS[2],
         };
         self.spots
             .insert(TargetId::of_searcher(service, name), spot);
--- a/crates/matrix/tests/matrix.rs
+++ b/crates/matrix/tests/matrix.rs
@@ -6,7 +6,7 @@
 use std::thread;
 
 use heatherrun_matrix::cell::{Cell, cells};
-use heatherrun_matrix::run::run;
+use heatherrun_matrix::run::{Kind, run};
 use heatherrun_matrix::table::{Outcome, table};
 
 /// Threads that run cells; each cell is deterministic by itself.
@@ -16,18 +16,27 @@
     if cell.never().is_some() {
         return Outcome::Never;
     }
-    let result = run(cell);
-    if !result.broken.is_empty() {
+    let searched = run(cell, Kind::Search);
+    let sent = if cell.step.is_control() {
+        searched.clone()
+    } else {
+        run(cell, Kind::Once)
+    };
+    let mut promises = Vec::new();
+    for broken in searched.broken.iter().chain(&sent.broken) {
         let (step, fault) = (cell.step.name(), cell.fault.name());
-        for broken in &result.broken {
-            println!("{step} x {fault}: {:?}: {}", broken.promise, broken.seen);
-        }
-        return Outcome::Broke(result.broken.iter().map(|b| b.promise).collect());
+        println!("{step} x {fault}: {:?}: {}", broken.promise, broken.seen);
+        promises.push(broken.promise);
+    }
+    promises.sort_unstable();
+    promises.dedup();
+    if !promises.is_empty() {
+        return Outcome::Broke(promises);
     }
-    if !result.fired {
+    if !searched.fired || !sent.fired {
         return Outcome::Missed;
     }
-    Outcome::Held(result.endings.join("/"))
+    Outcome::Held([searched.endings[0], sent.endings[1]].join("/"))
 }
 
 fn run_all() -> BTreeMap<Cell, Outcome> {
