--- a/crates/bench/benches/wire/unpooled.rs
+++ b/crates/bench/benches/wire/unpooled.rs
@@ -14,6 +14,7 @@
     let targets = Targets {
         call: async_fn(|call| async move { (target::unkept_targets().call)(call).await }),
         cancel: async_fn(|cancel| async move { (target::unkept_targets().cancel)(cancel).await }),
+        report: async_fn(|ask| async move { (target::unkept_targets().report)(ask).await }),
     };
     let peers = Peers {
         search: async_fn(|(address, batch)| search(address, batch)),
