Callers in the stop test keep an address no longer than they may

Cause: under a load of 38 the test once saw a connection reset. Its callers went on connecting after the port's last accept, long after the node was last offered; what reaches the kernel between the last accept and the close is reset, which no server can prevent (docs/design/http-library.md). Change: callers ask another node for the addresses and use one no longer than a second after it was last offered, as the answer tells them to; until then every request must still be answered or refused as not run. Conclusion: the check asks for what callers are promised, without a race in its verdict.

--- a/crates/standins/tests/stop.rs
+++ b/crates/standins/tests/stop.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use heatherrun_fakes::searcher::Settings;
 use heatherrun_ports::http_client::{Client, ExchangeError};
 use heatherrun_schema::v1;
+use heatherrun_tier::node::Node;
+use tokio::time::Instant;
 
 /// Longest stop.
 const LIMIT: Duration = Duration::from_mins(1);
@@ -24,12 +27,27 @@
     cut: Vec<ExchangeError>,
 }
 
-/// Sends searches until told to end; on a connection that is kept, or each on
-/// a new one.
-async fn call(address: std::net::SocketAddr, kept: bool, end: Arc<AtomicBool>) -> Seen {
+/// Time for which a caller keeps an address that it was offered.
+const KEEP: Duration = Duration::from_secs(1);
+
+/// Whether `asked` offers `address` to callers.
+fn offers(asked: &Node, address: SocketAddr) -> bool {
+    let answer = asked.addresses("lotes");
+    let text = address.to_string();
+    answer.addresses.iter().any(|a| a.address == text)
+}
+
+/// Sends searches until told to end, or until the address was not offered for
+/// as long as it may be kept; on a connection that is kept, or each on a new
+/// one. Callers who come later reach a closed port, as they must.
+async fn call(asked: Arc<Node>, address: SocketAddr, kept: bool, end: Arc<AtomicBool>) -> Seen {
     let mut client = Client::default();
     let mut seen = Seen::default();
-    while !end.load(Ordering::Acquire) {
+    let mut offered = Instant::now();
+    while !end.load(Ordering::Acquire) && offered.elapsed() < KEEP {
+        if offers(&asked, address) {
+            offered = Instant::now();
+        }
         if !kept {
             client = Client::default();
         }
@@ -50,12 +68,14 @@
 async fn stop_while_requests_arrive_cuts_none() {
     let mut tier = start(3, 4, &Settings::default()).await;
     let (address, other) = (tier.nodes[0].callers, tier.nodes[1].callers);
+    let asked = Arc::clone(&tier.nodes[1].node);
     let end = Arc::new(AtomicBool::new(false));
     let mut callers = Vec::new();
     for n in 0..4 {
-        callers.push(tokio::spawn(call(address, n % 2 == 0, Arc::clone(&end))));
+        let (asked, end) = (Arc::clone(&asked), Arc::clone(&end));
+        callers.push(tokio::spawn(call(asked, address, n % 2 == 0, end)));
     }
-    let elsewhere = tokio::spawn(call(other, true, Arc::clone(&end)));
+    let elsewhere = tokio::spawn(call(Arc::clone(&asked), other, true, Arc::clone(&end)));
     tokio::time::sleep(Duration::from_millis(200)).await;
     let whole = tier.nodes[0].stop(LIMIT).await.unwrap();
     assert!(whole, "the hard limit passed first");
