--- a/crates/bench/benches/scale.rs
+++ b/crates/bench/benches/scale.rs
@@ -24,12 +24,18 @@
 use heatherrun_kernel::message::{CallError, Failure, NodeInfo};
 use heatherrun_kernel::port::{PeerError, Peers, StoreCall, Targets, Vm, VmState, async_fn};
 use heatherrun_kernel::view::Standing;
-use heatherrun_kernel::{Clock, DomainId, Epoch, NodeId, Revision, Time};
+use heatherrun_kernel::{Clock, DomainId, Epoch, NodeId, Revision, Time, View};
 use heatherrun_schema::v1::{self, Operator};
 use heatherrun_tier::node::Node;
 use tarpc::tokio_serde::Serializer;
 use tarpc::tokio_serde::formats::Bincode;
 
+/// Copies of a view whose memory is measured.
+const COPIES: usize = 20;
+
+/// Size of a page of memory.
+const PAGE_BYTES: f64 = 4096.0;
+
 /// Failure domains at the size to design for.
 const DOMAINS: usize = 11;
 
@@ -354,6 +360,26 @@
             joined.sent + joined.received,
             joined.took.as_secs_f64() * 1e6
         );
+        println!(
+            "      view of one node: {:.0} KB",
+            self.view_bytes(&node) / 1024.0
+        );
+    }
+
+    /// Resident memory of one view, measured on copies that share nothing.
+    fn view_bytes(&self, node: &Node) -> f64 {
+        let before = resident();
+        let mut copies = Vec::with_capacity(COPIES);
+        for _ in 0..COPIES {
+            let mut copy = View::clone(&node.view.load());
+            copy.services.clear();
+            copy.targets.clear();
+            for service in &self.config().services {
+                copy.add_service(service, copy.revision);
+            }
+            copies.push(copy);
+        }
+        (resident() - before) / COPIES as f64
     }
 
     /// Beats of a minute in which nothing changes.
@@ -402,6 +428,13 @@
     }
 }
 
+/// Resident memory of this process, in bytes.
+fn resident() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|p| p.parse().ok());
+    pages.unwrap_or(0.0) * PAGE_BYTES
+}
+
 /// What another leader tells: its nodes at first, nothing later.
 fn pulled(nodes: &[NodeInfo], to: SocketAddr, first: bool) -> PullAnswer {
     let leader = nodes.iter().find(|n| n.peers == to);
