In a tier of many nodes the cell of a service owns its targets, and is told all of it

Cause: above 24 nodes a target could be owned by a node outside its service's cell, which did not have the service's configuration and refused every call; and a node that came into a cell later was told only what changed after that. A test with 30 nodes saw 3 of 4 shards answered, then 'no service named'. Change: owners are chosen within the cell; a leader sends what a member lacks of a service that is new to it, until a beat acknowledges it. What members are told moved from desk.rs into scope.rs.

--- a/crates/control/src/changelog.rs
+++ b/crates/control/src/changelog.rs
@@ -124,6 +124,13 @@
         news
     }
 
+    /// What changed last at `seen` or before and passes `wants`.
+    pub(crate) fn until(&self, seen: u64, wants: impl Fn(&Item) -> bool) -> Vec<Item> {
+        let old = self.order.range(..=seen);
+        let items = old.map(|(_, key)| &self.entries[key].item);
+        items.filter(|item| wants(item)).cloned().collect()
+    }
+
     /// Drops the oldest entries of things that are gone.
     fn prune(&mut self) {
         if self.gone <= GONE {
--- a/crates/control/src/desk.rs
+++ b/crates/control/src/desk.rs
@@ -1,6 +1,6 @@
 //! What a leader does with the messages of its members and of other leaders.
 
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use heatherrun_kernel::control::{Beat, BeatAnswer, ForceNote, Item, MemberNote, News, OwnerNote};
@@ -8,15 +8,15 @@
 use heatherrun_kernel::port::{Vm, VmState};
 use heatherrun_kernel::view::Standing;
 use heatherrun_kernel::{DomainId, Epoch, NodeId, ONCE_PARTITIONS, Revision};
-use heatherrun_kernel::{ServiceId, TargetId, Time};
+use heatherrun_kernel::{TargetId, Time};
 
-use crate::cell::{self, Nodes};
+use crate::cell::Nodes;
 use crate::changelog::Log;
 use crate::grants::{self, Grants, Stance, Start, Unit, VALID};
 use crate::lead::Tenure;
-use crate::manifest::SERVICE;
 use crate::rendezvous;
 use crate::replica::Replica;
+use crate::scope::Scopes;
 
 /// Shortest time between two beats of a node.
 const PERIOD: Duration = Duration::from_millis(500);
@@ -25,7 +25,7 @@
 const PER_MEMBER: Duration = Duration::from_millis(30);
 
 /// Bytes of news in one answer, unless a single item is larger.
-const NEWS_BYTES: usize = 16 << 10;
+pub(crate) const NEWS_BYTES: usize = 16 << 10;
 
 /// Time after which another leader's grants of a unit that moved between
 /// failure domains have surely run out: its lease and its last grants.
@@ -58,9 +58,8 @@
     /// What the leader knows, in the order of change.
     pub log: Log,
     members: BTreeMap<NodeId, Seen>,
-    /// Services that each node serves, in a tier that is not whole.
-    cells: BTreeMap<NodeId, HashSet<ServiceId>>,
-    whole: bool,
+    /// What each member is told.
+    scopes: Scopes,
     /// Failure domains without nodes that are led from here, each with
     /// whether nobody led it before.
     guests: BTreeMap<DomainId, bool>,
@@ -107,8 +106,7 @@
             grants: Grants::new(term, start, now),
             log: Log::default(),
             members: BTreeMap::new(),
-            cells: BTreeMap::new(),
-            whole: true,
+            scopes: Scopes::default(),
             guests: BTreeMap::new(),
             homes: BTreeMap::new(),
         };
@@ -139,24 +137,17 @@
     /// configuration or of the nodes.
     pub fn plan(&mut self, now: Time, replica: &Replica) {
         let units = self.units(now, replica);
-        self.grants.set_units(units, now);
         let mut nodes = Nodes::new();
         for (id, member) in &replica.view.nodes {
             if member.standing != Standing::Silent {
                 nodes.entry(member.info.domain).or_default().push(*id);
             }
         }
-        self.whole = nodes.values().map(Vec::len).sum::<usize>() <= cell::WHOLE;
-        self.cells.clear();
-        if self.whole {
-            return;
-        }
-        for service in replica.view.services.values() {
-            let targets = service.shards.iter().map(Vec::len).sum();
-            for node in cell::members(service.id, targets, &nodes) {
-                self.cells.entry(node).or_default().insert(service.id);
-            }
-        }
+        let services = replica.view.services.values();
+        let sizes = services.map(|s| (s.id, s.shards.iter().map(Vec::len).sum()));
+        let cells = self.scopes.plan(&nodes, sizes);
+        self.grants.set_cells(cells);
+        self.grants.set_units(units, now);
     }
 
     /// Units that are granted here. One that comes from another leader is not
@@ -294,14 +285,10 @@
         listed == Some(VmState::Leaving)
     }
 
-    fn news_for(&self, beat: &Beat) -> News {
+    fn news_for(&mut self, beat: &Beat) -> News {
         let seen = if beat.term == self.term { beat.seen } else { 0 };
-        if self.whole {
-            return self.log.since(seen, NEWS_BYTES, |_| true);
-        }
-        let none = HashSet::new();
-        let cell = self.cells.get(&beat.from).unwrap_or(&none);
-        self.log.since(seen, NEWS_BYTES, |item| wants(cell, item))
+        let held = self.grants.services_of(beat.from);
+        self.scopes.news(beat, held, &self.log, seen)
     }
 
     /// Answers another leader, who needs the configuration and what this
@@ -442,21 +429,6 @@
     units
 }
 
-fn wants(cell: &HashSet<ServiceId>, item: &Item) -> bool {
-    match item {
-        Item::Config(kv) => wants_part(cell, &kv.key),
-        Item::Patch(patch) => wants_part(cell, &patch.key),
-        Item::Owner(note) => cell.contains(&note.service),
-        Item::Force(_) => false,
-        Item::Head(_) | Item::Member(_) | Item::Left(_) => true,
-    }
-}
-
-fn wants_part(cell: &HashSet<ServiceId>, key: &str) -> bool {
-    let service = key.strip_prefix(SERVICE).map(ServiceId::of);
-    service.is_none_or(|service| cell.contains(&service))
-}
-
 fn is_of(domain: DomainId, item: &Item) -> bool {
     match item {
         Item::Config(_) | Item::Patch(_) | Item::Head(_) | Item::Left(_) => true,
--- a/crates/control/src/grants.rs
+++ b/crates/control/src/grants.rs
@@ -136,6 +136,8 @@
     changed: BTreeSet<TargetId>,
     doubted: BTreeSet<NodeId>,
     listed: BTreeSet<NodeId>,
+    /// Nodes that may own the units of a service; any when it is not listed.
+    cells: BTreeMap<ServiceId, BTreeSet<NodeId>>,
     /// Last epochs of units that were taken away.
     last: BTreeMap<TargetId, Epoch>,
     /// When units that were taken away while held are surely unused.
@@ -167,6 +169,7 @@
             listed: BTreeSet::new(),
             last: BTreeMap::new(),
             ending: BTreeMap::new(),
+            cells: BTreeMap::new(),
             unlisted: start == Start::Lapse,
             gap: false,
         }
@@ -459,13 +462,35 @@
             }
         }
         self.wanted.clear();
-        for id in self.slots.keys() {
-            if let Some(node) = rendezvous::choose(*id, live.iter().copied()) {
+        for (id, slot) in &self.slots {
+            let node = rendezvous::choose(*id, self.within(slot.unit.service, &live))
+                .or_else(|| rendezvous::choose(*id, live.iter().copied()));
+            if let Some(node) = node {
                 self.wanted.entry(node).or_default().insert(*id);
             }
         }
     }
 
+    /// The nodes of `live` that serve a service.
+    fn within(&self, service: ServiceId, live: &[NodeId]) -> Vec<NodeId> {
+        let cell = self.cells.get(&service);
+        let serves = |node: &NodeId| cell.is_none_or(|cell| cell.contains(node));
+        live.iter().copied().filter(serves).collect()
+    }
+
+    /// Sets the nodes that may own the units of each service; a service that
+    /// is not listed is served by all.
+    pub fn set_cells(&mut self, cells: BTreeMap<ServiceId, BTreeSet<NodeId>>) {
+        self.cells = cells;
+    }
+
+    /// Services of the units that `node` holds.
+    pub(crate) fn services_of(&self, node: NodeId) -> BTreeSet<ServiceId> {
+        let held = self.held.get(&node).into_iter().flatten();
+        let slots = held.filter_map(|id| self.slots.get(id));
+        slots.map(|slot| slot.unit.service).collect()
+    }
+
     /// Units whose owner changed since the last call.
     pub fn changes(&mut self) -> Vec<(Unit, Option<Owner>)> {
         let mut all = Vec::with_capacity(self.changed.len());
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`lead`] elects the leader of a failure domain. [`desk`] is what a leader
 //! does with the messages of its members: [`grants`] is its side of
 //! ownership, of which [`rights`] is the node's side, and [`changelog`] sends
-//! what changed to those that need it ([`cell`]). [`replica`] is what each
+//! what changed to those that need it ([`cell`], `scope`). [`replica`] is what each
 //! node knows of the tier, and [`manifest`] what a configuration consists of.
 
 pub mod cell;
@@ -12,8 +12,8 @@
 pub mod desk;
 pub mod grants;
 pub mod lead;
-
 pub mod manifest;
 pub mod rendezvous;
 pub mod replica;
 pub mod rights;
+mod scope;
