A member of a large tier asks its leader how far a change is in force

Change: a member asks its leader when it answers an operator, and tells what it knows itself when the leader does not answer. Conclusion: 'in force on N of M' is true on every node, at no cost when nobody asks.

--- a/crates/kernel/src/control.rs
+++ b/crates/kernel/src/control.rs
@@ -295,6 +295,8 @@
     Nudge(Revision),
     /// An operator wants the receiver to shut down gracefully.
     Drain,
+    /// How far is the configuration in force?
+    Force,
     /// Records of a partition, from its last holder to the next one.
     Records(OnceRecords),
     /// Claim of a once-only request.
@@ -312,6 +314,9 @@
     Beat(BeatAnswer),
     /// To a pull.
     Pull(PullAnswer),
+    /// To the question how far the configuration is in force, by failure
+    /// domain.
+    Force(Vec<ForceNote>),
     /// To a claim.
     Claim(ClaimAnswer),
     /// The message was taken.
--- a/crates/tier/src/control/mod.rs
+++ b/crates/tier/src/control/mod.rs
@@ -27,7 +27,9 @@
 use heatherrun_control::manifest::Pool;
 use heatherrun_control::replica::{self, Change, Replica, Scope};
 use heatherrun_control::rights::Rights;
-use heatherrun_kernel::control::{Answer, Ask, Beat, Item, MemberNote, News, Pull, PullAnswer};
+use heatherrun_kernel::control::{
+    Answer, Ask, Beat, ForceNote, Item, MemberNote, News, Pull, PullAnswer,
+};
 use heatherrun_kernel::message::{NodeInfo, OnceRecords};
 use heatherrun_kernel::port::{Peers, Platform, StoreCall, StoreError, StoreReply, Vm, VmState};
 use heatherrun_kernel::view::Standing;
@@ -202,6 +204,7 @@
                 self.begin_stop();
                 Answer::Taken
             }
+            Ask::Force => Answer::Force(self.lock().notes()),
             _ => Answer::Refused(None),
         }
     }
@@ -300,10 +303,21 @@
         self.fresh.fetch_max(at.0, Ordering::Relaxed);
     }
 
-    /// How far the configuration is in force, for each failure domain.
-    #[must_use]
-    pub fn force(&self) -> Vec<heatherrun_kernel::control::ForceNote> {
-        self.lock().replica.force.values().cloned().collect()
+    /// How far the configuration is in force, for each failure domain. In a
+    /// large tier only leaders are told, so a member asks its own.
+    pub async fn force(&self) -> Vec<ForceNote> {
+        let (own, leader) = {
+            let state = self.lock();
+            let leader = state.link.as_ref().map(|link| link.info.clone());
+            (state.notes(), leader)
+        };
+        let Some(leader) = leader.filter(|l| l.id != self.info.id) else {
+            return own;
+        };
+        match self.ask(&leader, Ask::Force).await {
+            Some(Answer::Force(notes)) => notes,
+            _ => own,
+        }
     }
 
     /// Services in force, as declared.
@@ -457,6 +471,10 @@
 }
 
 impl State {
+    fn notes(&self) -> Vec<ForceNote> {
+        self.replica.force.values().cloned().collect()
+    }
+
     /// A leader that was not heard for this long is silent.
     fn silence(&self) -> Duration {
         self.period * 2 + SILENCE
--- a/crates/tier/src/operate/config.rs
+++ b/crates/tier/src/operate/config.rs
@@ -141,10 +141,10 @@
     log::info!(node = node.info.name.as_str(), revision = revision.0; "config.accepted");
     node.control.hurry(revision).await;
     let end = node.clock.now() + FORCE;
-    let mut force = status::force(node, revision);
+    let mut force = status::force(node, revision).await;
     while force.nodes < force.total && node.clock.now() < end {
         tokio::time::sleep(LOOK).await;
-        force = status::force(node, revision);
+        force = status::force(node, revision).await;
     }
     v1::ApplyAnswer {
         revision: revision.0,
--- a/crates/tier/src/operate/mod.rs
+++ b/crates/tier/src/operate/mod.rs
@@ -29,7 +29,7 @@
     }
 
     async fn status(&self, _: v1::StatusRequest) -> Result<v1::StatusAnswer, CallError> {
-        Ok(status::status(self))
+        Ok(status::status(self).await)
     }
 
     async fn explain(&self, request: v1::ExplainRequest) -> Result<v1::ExplainAnswer, CallError> {
--- a/crates/tier/src/operate/status.rs
+++ b/crates/tier/src/operate/status.rs
@@ -10,9 +10,9 @@
 use crate::node::Node;
 
 /// The state as `node` sees it.
-pub(super) fn status(node: &Node) -> v1::StatusAnswer {
+pub(super) async fn status(node: &Node) -> v1::StatusAnswer {
     let view = node.view.load_full();
-    let force = force(node, view.revision);
+    let force = force(node, view.revision).await;
     let behind: BTreeSet<String> = force.behind.iter().cloned().collect();
     let mut nodes = Vec::with_capacity(view.nodes.len());
     for member in view.nodes.values() {
@@ -86,8 +86,8 @@
 
 /// On how many nodes `revision` is in force, as far as this node was told.
 /// Nodes of a failure domain that tells nothing count as behind.
-pub(super) fn force(node: &Node, revision: Revision) -> v1::Force {
-    let notes = node.control.force();
+pub(super) async fn force(node: &Node, revision: Revision) -> v1::Force {
+    let notes = node.control.force().await;
     let mut force = v1::Force {
         revision: revision.0,
         ..v1::Force::default()
--- a/crates/tier/tests/cells.rs
+++ b/crates/tier/tests/cells.rs
@@ -70,6 +70,22 @@
     found
 }
 
+/// Nodes that have the configuration in force, as each node tells it.
+async fn told(mesh: &Mesh, at: usize) -> (u32, u32) {
+    let status = mesh.nodes[at].node.status(v1::StatusRequest {}).await;
+    let force = status.unwrap().force.unwrap_or_default();
+    (force.nodes, force.total)
+}
+
+#[tokio::test(start_paused = true)]
+async fn status_of_every_node_tells_where_it_is_in_force() {
+    let (mesh, _) = start().await;
+    let all = u32::try_from(NODES).unwrap();
+    for at in 0..NODES {
+        assert_eq!(told(&mesh, at).await, (all, all), "as told by node {at}");
+    }
+}
+
 async fn reached(mesh: &Mesh, at: usize, service: &str) -> Result<u32, String> {
     let ask = v1::SearchRequest {
         service: service.to_owned(),
