Drop the unused list of parts that no manifest names

Change: removed. Behaviour stays as it is. Conclusion: format and Clippy over all targets are clean, so no caller is left; parts of a crashed apply are still not swept.

--- a/crates/control/src/manifest.rs
+++ b/crates/control/src/manifest.rs
@@ -142,17 +142,6 @@
             parts,
         })
     }
-
-    /// Keys that no manifest names, older than the manifest.
-    #[must_use]
-    pub fn orphans(&self) -> Vec<KeyValue> {
-        let Some(whole) = self.whole() else {
-            return Vec::new();
-        };
-        let named = |key: &str| whole.manifest.parts.iter().any(|p| p.key == key);
-        let old = |kv: &&KeyValue| kv.revision < whole.revision && !named(&kv.key);
-        self.keys.values().filter(old).cloned().collect()
-    }
 }
 
 /// The configuration that parts make up.
