--- a/crates/standins/src/local.rs
+++ b/crates/standins/src/local.rs
@@ -10,7 +10,7 @@
 use heatherrun_kernel::port::{Vm, VmState};
 use heatherrun_kernel::{Revision, ShardIx};
 use heatherrun_ports::http_server::Phase;
-use heatherrun_schema::v1;
+use heatherrun_schema::v1::{self, Operator};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -129,6 +129,39 @@
         })
     }
 
+    /// Starts `nodes` nodes spread over `domains`, applies `services` as the
+    /// first configuration, and waits until it is in force.
+    ///
+    /// # Errors
+    /// When no port is free or the configuration is refused.
+    pub async fn serve(
+        &mut self,
+        nodes: usize,
+        domains: &[&str],
+        services: Vec<v1::Service>,
+    ) -> anyhow::Result<()> {
+        for n in 0..nodes {
+            let domain = domains[n % domains.len()];
+            self.add_node(&format!("entry-{n}"), domain).await?;
+        }
+        let domain = |name: &&str| v1::FailureDomain {
+            name: (*name).to_owned(),
+            region: "alps".to_owned(),
+            out: false,
+        };
+        let config = v1::TierConfig {
+            domains: domains.iter().map(domain).collect(),
+            services,
+        };
+        let request = v1::ApplyRequest {
+            config: Some(config),
+            ..v1::ApplyRequest::default()
+        };
+        self.nodes[0].node.apply(request).await?;
+        self.settle().await;
+        Ok(())
+    }
+
     /// Starts the searchers of a sharded service, one replica in each of
     /// `domains`, and returns the service's configuration.
     ///
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use heatherrun_fakes::searcher::Settings;
 use heatherrun_ports::http_client::{Client, ExchangeError, Route};
-use heatherrun_schema::v1::{self, Operator};
+use heatherrun_schema::v1;
 use heatherrun_standins::local::LocalTier;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -31,26 +31,9 @@
         .add_pooled("recibos", &DOMAINS, settings)
         .await
         .unwrap();
-    for n in 0..nodes {
-        tier.add_node(&format!("entry-{n}"), DOMAINS[n % DOMAINS.len()])
-            .await
-            .unwrap();
-    }
-    let domain = |name: &&str| v1::FailureDomain {
-        name: (*name).to_owned(),
-        region: "alps".to_owned(),
-        out: false,
-    };
-    let config = v1::TierConfig {
-        domains: DOMAINS.iter().map(domain).collect(),
-        services: vec![lotes, recibos],
-    };
-    let request = v1::ApplyRequest {
-        config: Some(config),
-        ..v1::ApplyRequest::default()
-    };
-    tier.nodes[0].node.apply(request).await.unwrap();
-    tier.settle().await;
+    tier.serve(nodes, &DOMAINS, vec![lotes, recibos])
+        .await
+        .unwrap();
     tier
 }
 
