heatherrun serves routed requests on the users' platform

Cause: nothing of the tier ran there: no routes, no discovery, no pass-through, no deploy file. Change: kernel::routes and kernel::site hold the model and the wire's port; routing decides (route, target, hedges and retries in a window over all nodes, point of answer, merge of opaque records, fleet with incarnations, feed of the store); gateway serves (callers, calls, one reader of the store for each failure domain that relays to the others, lease of the node, directory, readiness, metrics, planned stop); platform/ translates names and formats. The HTTP client gives up silent connections; doubles may stand in settings; only this project's events are logged. Whole test run green. Conclusion: entries call searchers directly; owners stay for the tier's own configuration.

--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -105,6 +105,7 @@
             let kind = match field.r#type() {
                 Type::String => "FieldKind::Text".to_owned(),
                 Type::Bool => "FieldKind::Flag".to_owned(),
+                Type::Double => "FieldKind::Fraction".to_owned(),
                 Type::Message => {
                     let name = field.type_name().rsplit('.').next().unwrap_or_default();
                     format!("FieldKind::Message({name:?})")
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -93,6 +93,29 @@
     LogBridge::new(logger)
 }
 
+/// Passes on the events of this project alone: libraries log each message
+/// between nodes several times.
+struct OwnEvents(LogBridge);
+
+/// Beginning of the targets of this project's events.
+const OWN: &str = "heatherrun";
+
+impl log::Log for OwnEvents {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        metadata.target().starts_with(OWN) && self.0.enabled(metadata)
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if self.enabled(record.metadata()) {
+            self.0.log(record);
+        }
+    }
+
+    fn flush(&self) {
+        self.0.flush();
+    }
+}
+
 /// Logs the events of `vm` at level `name` and above to standard output from now
 /// on.
 ///
@@ -101,7 +124,8 @@
 pub fn start(vm: &str, name: &str) -> anyhow::Result<()> {
     let layout = KeyValueLayout { vm: vm.to_owned() };
     let stdout = logforth::append::Stdout::default().with_layout(layout);
-    log::set_boxed_logger(Box::new(bridge(stdout))).context("logs go elsewhere already")?;
+    let own = OwnEvents(bridge(stdout));
+    log::set_boxed_logger(Box::new(own)).context("logs go elsewhere already")?;
     log::set_max_level(level(name)?);
     Ok(())
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,12 +7,17 @@
     fs,
     path::{Path, PathBuf},
     process::ExitCode,
+    sync::Arc,
 };
 
 use anyhow::Context as _;
 use heatherrun_daemon::{logging, metrics};
+use heatherrun_gateway::gateway::Gateway;
+use heatherrun_platform as _;
+use heatherrun_ports::serving::Serving;
 use heatherrun_report::plugins;
-use heatherrun_schema::v1::NodeSettings;
+use heatherrun_schema::v1::{GatewaySettings, NodeSettings};
+use tokio::runtime::Builder;
 
 /// Exit code when the settings hold a fault.
 const BAD_SETTINGS: u8 = 2;
@@ -30,14 +35,13 @@
     plugins: bool,
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     if arguments.plugins {
         print!("{}", plugins::table());
         return ExitCode::SUCCESS;
     }
-    match start(arguments.settings.as_deref()).await {
+    match start(arguments.settings.as_deref()) {
         Ok(code) => ExitCode::from(code),
         Err(e) => {
             eprintln!("heatherrund: {e:#}");
@@ -46,13 +50,13 @@
     }
 }
 
-async fn start(path: Option<&Path>) -> anyhow::Result<u8> {
+fn start(path: Option<&Path>) -> anyhow::Result<u8> {
     let path = path.context("no settings file; name one, or see heatherrund --help")?;
     let file = path.display().to_string();
     let text = fs::read_to_string(path)
         .with_context(|| format!("cannot read {file}; name a readable settings file"))?;
     match heatherrun_settings::read_node(&file, &text) {
-        Ok(checked) => run(checked.value).await,
+        Ok(checked) => run(checked.value),
         Err(e) => {
             eprintln!("{e}");
             Ok(BAD_SETTINGS)
@@ -60,8 +64,34 @@
     }
 }
 
-async fn run(settings: NodeSettings) -> anyhow::Result<u8> {
+fn run(settings: NodeSettings) -> anyhow::Result<u8> {
     logging::start(&settings.name, &settings.log)?;
+    // A gateway runs on a part of one core, where more threads only cost.
+    let mut runtime = match settings.gateway {
+        Some(_) => Builder::new_current_thread(),
+        None => Builder::new_multi_thread(),
+    };
+    let runtime = runtime.enable_all().build().context("no runtime")?;
+    runtime.block_on(async {
+        match settings.gateway.clone() {
+            Some(gateway) => run_gateway(settings, gateway).await,
+            None => run_tier(settings).await,
+        }
+    })
+}
+
+async fn run_gateway(settings: NodeSettings, own: GatewaySettings) -> anyhow::Result<u8> {
+    let gateway = Gateway::start(&settings, &own).await?;
+    log::info!(
+        domain = settings.domain.as_str(), callers = settings.callers.as_str(),
+        peers = settings.peers.as_str(), platform = settings.platform.as_str();
+        "gateway.started"
+    );
+    let begun = std::future::pending();
+    stop::wait(begun, settings.stop_secs, |limit| gateway.stop(limit)).await
+}
+
+async fn run_tier(settings: NodeSettings) -> anyhow::Result<u8> {
     let (node, serving) = serve::start(&settings).await?;
     log::info!(
         domain = settings.domain.as_str(), callers = settings.callers.as_str(),
@@ -70,7 +100,8 @@
     );
     if !settings.metrics.is_empty() {
         let address = settings.metrics.parse().context("metrics")?;
-        tokio::spawn(metrics::run(node, address));
+        tokio::spawn(metrics::run(Arc::clone(&node), address));
     }
-    stop::wait(serving, settings.stop_secs).await
+    let begun = Serving::stop_begun(node);
+    stop::wait(begun, settings.stop_secs, |limit| serving.stop(limit)).await
 }
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -7,7 +7,6 @@
 
 use std::time::Duration;
 
-use heatherrun_ports::serving::Serving;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit code after the hard limit; a request may have been cut.
@@ -42,17 +41,22 @@
     }
 }
 
-/// Waits for the begin of a planned stop, stops within `stop_secs`, and
-/// returns the exit code.
+/// Waits until a signal or `begun` begins a planned stop, runs `stop` within
+/// `stop_secs`, and returns the exit code. `stop` tells whether nothing was
+/// left to cut.
 ///
 /// # Errors
 /// When signals cannot be received.
-pub async fn wait(serving: Serving, stop_secs: u32) -> anyhow::Result<u8> {
+pub async fn wait<F: Future<Output = bool>>(
+    begun: impl Future<Output = ()>,
+    stop_secs: u32,
+    stop: impl FnOnce(Duration) -> F,
+) -> anyhow::Result<u8> {
     let mut signals = Signals::new()?;
     tokio::select! {
         biased;
         () = signals.next() => log::info!(cause = "signal"; "stop.asked"),
-        () = serving.stop_begun() => log::info!(cause = "drain"; "stop.asked"),
+        () = begun => log::info!(cause = "drain"; "stop.asked"),
     }
     let limit = match stop_secs {
         0 => STOP_TIME,
@@ -60,7 +64,7 @@
     };
     let code = tokio::select! {
         biased;
-        whole = serving.stop(limit) => if whole { 0 } else { HARD_LIMIT },
+        whole = stop(limit) => if whole { 0 } else { HARD_LIMIT },
         () = signals.next() => SECOND_SIGNAL,
     };
     log::info!(code; "stop.ended");
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -23,6 +23,9 @@
 /// Writes that the service takes in a second.
 const WRITES: u64 = 300;
 
+/// Keys of one page.
+const PAGE_KEYS: usize = 50;
+
 /// What goes wrong, as data; nothing by default.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -210,7 +213,7 @@
                 counts.lists += 1;
                 (faults.list_down, false)
             }
-            StoreCall::Get { .. } | StoreCall::Watch { .. } => {
+            StoreCall::Get { .. } | StoreCall::List { .. } | StoreCall::Watch { .. } => {
                 counts.reads += 1;
                 (faults.down || self.exceeds(1, 0), self.loses())
             }
@@ -262,6 +265,7 @@
                 value,
                 lease,
             } => return self.swap(key, expect, value, lease),
+            StoreCall::List { prefix, after } => self.page(&prefix, &after),
             StoreCall::Watch { prefix, after, .. } => self.changes(&prefix, after),
             StoreCall::Grant { ttl } => {
                 self.revision += 1;
@@ -332,6 +336,17 @@
         StoreReply::Changes(found, Revision(self.revision))
     }
 
+    fn page(&mut self, prefix: &str, after: &str) -> StoreReply {
+        self.expire(Instant::now());
+        let there = self.keys.iter().filter(|(key, entry)| {
+            key.starts_with(prefix) && key.as_str() > after && entry.value.is_some()
+        });
+        let mut found: Vec<_> = there.map(|(key, entry)| key_value(key, entry)).collect();
+        let more = found.len() > PAGE_KEYS;
+        found.truncate(PAGE_KEYS);
+        StoreReply::Page(found, more, Revision(self.revision))
+    }
+
     fn expire(&mut self, now: Instant) {
         let lapsed: Vec<u64> = self
             .leases
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,348 @@
+//! One caller's request from its arrival to its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::stream::{FuturesUnordered, StreamExt};
+use heatherrun_kernel::Time;
+use heatherrun_kernel::routes::{Destination, Name, Route};
+use heatherrun_kernel::time::micros;
+use heatherrun_ports::http_reply::{Fault, Reply, plain};
+use heatherrun_ports::http_server::Received;
+use heatherrun_routing::choice::{self, Choice, Choices};
+use heatherrun_routing::fleet::Services;
+use heatherrun_routing::scatter::{Cause, Chosen, Context, Plan, Scatter, Send, SlotIx, Verdict};
+use heatherrun_routing::table::Table;
+use heatherrun_routing::target::{Distance, Target};
+use http::{Response, StatusCode, header};
+
+use crate::calls::{self, Ended, Outgoing};
+use crate::reply;
+use crate::state::State;
+
+/// Part of a latency objective kept for the way to the caller and back, which
+/// takes some 3 ms each way, and for merging.
+const WAY_BACK: Duration = Duration::from_millis(13);
+
+/// Part of the time that a caller waits kept for the way back.
+const LAST_WAY: Duration = Duration::from_millis(6);
+
+/// Part of the objective for which a call may wait for room, as a divisor: a
+/// refusal must come within a quarter of it.
+const ROOM_DIVISOR: u32 = 5;
+
+/// Time that calls which are not needed any more may still take. A connection
+/// that is closed costs its target a new one; one that waits longer than a
+/// searcher's pause is not worth keeping.
+const LOSER_TIME: Duration = Duration::from_millis(300);
+
+/// Share of a target's connections for the nodes of its region and for all
+/// others, in per cent.
+const NEAR_PERCENT: usize = 50;
+const FAR_PERCENT: usize = 45;
+
+/// When callers come again that were refused for want of a configuration.
+const AGAIN_UNREADY: Duration = Duration::from_millis(300);
+
+/// When callers come again that no target could take.
+const AGAIN_REFUSED: Duration = Duration::from_millis(150);
+
+/// Answers one request.
+pub async fn answer(state: Arc<State>, received: Result<Received, Fault>) -> Reply {
+    let start = state.clock.now();
+    let received = match received {
+        Ok(received) => received,
+        Err(fault) => return fault.reply(),
+    };
+    let Some(table) = state.table.load_full() else {
+        state.metrics.refused("unready");
+        return reply::not_run("no configuration is known yet", AGAIN_UNREADY);
+    };
+    if received.body.len() > table.config().callers.body_bytes {
+        return Fault::LongBody.reply();
+    }
+    let uri = &received.head.uri;
+    let host = received.head.headers.get(header::HOST);
+    let host = host.and_then(|h| h.to_str().ok()).or_else(|| uri.host());
+    let Some(route) = table.route(host.unwrap_or_default(), uri.path()) else {
+        let (host, path) = (host.unwrap_or_default(), uri.path());
+        if state.metrics.may_log() {
+            log::info!(host, path, version = table.config().version; "request.no-route");
+        }
+        return plain(StatusCode::NOT_FOUND, "no route for this host and path");
+    };
+    let route = route.clone();
+    let serving = Serving::new(state, &table, route, received, start);
+    serving.run().await
+}
+
+/// One request being served.
+struct Serving {
+    state: Arc<State>,
+    table: Arc<Table>,
+    route: Route,
+    /// Services that are sent it, one for each shard.
+    shards: Vec<Name>,
+    /// Records of a merged answer; none for a single service.
+    records: Option<usize>,
+    plan: Plan,
+    out: Arc<Outgoing>,
+    start: Time,
+}
+
+impl Serving {
+    fn new(
+        state: Arc<State>,
+        table: &Arc<Table>,
+        route: Route,
+        received: Received,
+        start: Time,
+    ) -> Self {
+        let (shards, records, least) = match &route.to {
+            Destination::Service(service) => (vec![Arc::clone(service)], None, 1.0),
+            Destination::Split(parts) => {
+                let part = table.part(parts).map(|p| Arc::clone(&p.service));
+                (part.into_iter().collect(), None, 1.0)
+            }
+            Destination::Shards {
+                services,
+                records,
+                least,
+            } => (services.clone(), Some(*records), *least),
+        };
+        let head = (state.site.caller)(&received.head.headers);
+        let left = head.left.unwrap_or(route.timeout);
+        let wait = left.saturating_sub(LAST_WAY).min(route.timeout);
+        let end = start + wait;
+        let answer_by = match records {
+            Some(_) => end.min(start + route.objective.saturating_sub(WAY_BACK)),
+            None => end,
+        };
+        let plan = Plan {
+            repeat: route.repeat,
+            attempts: route.attempts,
+            answer_by,
+            room_by: start + route.objective / ROOM_DIVISOR,
+            end,
+            least,
+        };
+        let out = Outgoing {
+            id: head.id.unwrap_or_default().to_owned(),
+            end,
+            is_part: records.is_some(),
+            latency: state.learned.route(&route.name),
+            ..outgoing(&state, received)
+        };
+        Self {
+            state,
+            table: Arc::clone(table),
+            route,
+            shards,
+            records,
+            plan,
+            out: Arc::new(out),
+            start,
+        }
+    }
+
+    async fn run(self) -> Reply {
+        let state = &self.state;
+        let now = state.clock.now();
+        state
+            .learned
+            .request(now, self.shards.iter(), &state.info.extra);
+        let mut scatter = Scatter::new(self.plan.clone(), self.shards.len());
+        let mut calls = FuturesUnordered::new();
+        let mut replies: Vec<Option<Response<Bytes>>> = Vec::with_capacity(self.shards.len());
+        let mut sends = self.decide(|cx| scatter.start(now, cx));
+        let verdict = loop {
+            for send in sends.drain(..) {
+                replies.push(None);
+                calls.push(self.call(send));
+            }
+            let now = state.clock.now();
+            if let Some(verdict) = scatter.verdict(now) {
+                break verdict;
+            }
+            let wake = scatter.wake_at(now);
+            tokio::select! {
+                biased;
+                Some(Ended { call, end, reply }) = calls.next() => {
+                    replies[call] = reply;
+                    let now = state.clock.now();
+                    sends = self.decide(|cx| scatter.ended(now, call, end, cx));
+                }
+                () = state.clock.sleep_until(wake) => {
+                    let now = state.clock.now();
+                    sends = self.decide(|cx| scatter.tick(now, cx));
+                }
+            }
+        };
+        if !calls.is_empty() {
+            tokio::spawn(async move {
+                let rest = calls.for_each(|_| std::future::ready(()));
+                let _ = tokio::time::timeout(LOSER_TIME, rest).await;
+            });
+        }
+        self.conclude(&scatter, verdict, replies)
+    }
+
+    fn call(&self, send: Send) -> impl Future<Output = Ended> + std::marker::Send + 'static {
+        let connections = self.room(&send.target);
+        calls::call(
+            Arc::clone(&self.state),
+            Arc::clone(&self.out),
+            send,
+            connections,
+        )
+    }
+
+    /// Calls of this node that one target takes at once.
+    fn room(&self, target: &Target) -> usize {
+        let service = self.table.service(&target.entry.service);
+        let connections = service.map_or(1, |s| usize::from(s.connections));
+        let nodes = self.state.nodes.load();
+        let region = self.state.info.regions.get(&target.entry.domain);
+        let near = nodes.iter().filter(|n| Some(&n.region) == region).count();
+        let (percent, sharing) = match target.distance {
+            Distance::Far => (FAR_PERCENT, nodes.len().saturating_sub(near)),
+            Distance::Domain | Distance::Region => (NEAR_PERCENT, near),
+        };
+        (connections * percent / 100 / sharing.max(1)).max(1)
+    }
+
+    /// Runs a decision with what it needs to know.
+    fn decide<R>(&self, decision: impl FnOnce(&Context<'_>) -> R) -> R {
+        let state = &*self.state;
+        let now = state.clock.now();
+        let services = state.services.load();
+        let out = state.out.load();
+        let choices = Choices {
+            regions: &self.route.regions,
+            region_of: &|domain| state.info.regions.get(domain).cloned(),
+            is_out: &|domain| out.contains(domain),
+            cold_room: &|target| self.cold_room(now, target),
+            room: &|target| u32::try_from(self.room(target)).unwrap_or(u32::MAX),
+        };
+        let context = Context {
+            choose: &|slot, tried| self.choose(now, &services, slot, tried, &choices),
+            take_extra: &|slot| {
+                let service = &self.shards[slot];
+                state
+                    .learned
+                    .take_extra(now, service, &state.info.extra, state.sharing())
+            },
+            delay: &|target| self.out.latency.delay(target, self.route.objective),
+        };
+        decision(&context)
+    }
+
+    fn choose(
+        &self,
+        now: Time,
+        services: &Services,
+        slot: SlotIx,
+        tried: &[Name],
+        choices: &Choices<'_>,
+    ) -> Chosen {
+        let targets = services.get(&self.shards[slot]).map_or(&[][..], |t| t);
+        match choice::choose(now, targets, tried, choices) {
+            Choice::Target(target) => Chosen::Target(Arc::clone(target)),
+            Choice::NoRoom => Chosen::NoRoom,
+            Choice::NoTarget => Chosen::NoTarget,
+        }
+    }
+
+    /// Whether this node's share of what a cold target bears has one more.
+    fn cold_room(&self, now: Time, target: &Target) -> bool {
+        let service = self.table.service(&target.entry.service);
+        let Some(cold) = service.and_then(|s| s.cold) else {
+            return true;
+        };
+        target.take_cold(now, cold.per_sec / f64::from(self.state.sharing()))
+    }
+
+    fn conclude(
+        &self,
+        scatter: &Scatter,
+        verdict: Verdict,
+        mut replies: Vec<Option<Response<Bytes>>>,
+    ) -> Reply {
+        let took = self.state.clock.now().since(self.start);
+        let version = self.table.config().version;
+        let (id, route) = (self.out.id.as_str(), &*self.route.name);
+        let calls = scatter.calls();
+        match verdict {
+            Verdict::Answer(chosen) => {
+                let total = chosen.len();
+                let parts = chosen.into_iter().flatten();
+                let mut parts: Vec<_> = parts.filter_map(|ix| replies[ix].take()).collect();
+                let missing = total - parts.len();
+                self.state.metrics.answered(took, missing);
+                log::debug!(id, route, version, calls, missing; "request.answered");
+                if missing > 0 && self.state.metrics.may_log() {
+                    let causes: Vec<_> = (0..total).filter_map(|s| scatter.cause(s)).collect();
+                    log::info!(
+                        id, route, version, calls, missing, causes:? = causes,
+                        took_us = micros(took); "request.partial"
+                    );
+                }
+                match self.records {
+                    Some(records) => reply::merged(&self.state, &parts, missing, records),
+                    None => match parts.pop() {
+                        Some(part) => reply::pass(part),
+                        None => reply::unknown(Cause::Lost),
+                    },
+                }
+            }
+            Verdict::None { not_run, cause } => {
+                self.state.metrics.refused(cause.name());
+                if self.state.metrics.may_log() {
+                    log::info!(
+                        id, route, version, calls, not_run, cause = cause.name(),
+                        took_us = micros(took); "request.failed"
+                    );
+                }
+                if not_run {
+                    return reply::not_run(cause.name(), AGAIN_REFUSED);
+                }
+                let own = match self.records {
+                    None => self.own_failure(&mut replies),
+                    Some(_) => None,
+                };
+                own.map_or_else(|| reply::unknown(cause), reply::pass)
+            }
+        }
+    }
+
+    /// A target's own failure, which says more than ours.
+    fn own_failure(&self, replies: &mut [Option<Response<Bytes>>]) -> Option<Response<Bytes>> {
+        let ran = |r: &Response<Bytes>| {
+            !(self.state.site.reply)(r.status(), r.headers()).not_run && !r.status().is_success()
+        };
+        let found = replies.iter_mut().find(|r| r.as_ref().is_some_and(&ran));
+        found.and_then(Option::take)
+    }
+}
+
+/// What is passed on of a caller's request.
+fn outgoing(state: &State, received: Received) -> Outgoing {
+    let mut headers = received.head.headers;
+    reply::strip(&mut headers);
+    let own = headers.keys().filter(|n| (state.site.is_own)(n.as_str()));
+    for name in own.cloned().collect::<Vec<_>>() {
+        headers.remove(name);
+    }
+    let uri = received.head.uri;
+    let path = uri.path_and_query().map_or("/", |p| p.as_str());
+    Outgoing {
+        id: String::new(),
+        method: received.head.method,
+        uri: path.parse().unwrap_or_default(),
+        headers,
+        body: received.body,
+        is_part: false,
+        end: Time::default(),
+        latency: Arc::default(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,285 @@
+//! What one node knows and acts on; a request reads it without locks.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use heatherrun_kernel::routes::{Fact, Name, NodeEntry};
+use heatherrun_kernel::site::Site;
+use heatherrun_kernel::{Clock, Time};
+use heatherrun_ports::http_client::Client;
+use heatherrun_routing::extra::ExtraBound;
+use heatherrun_routing::feed::{Delta, Feed, Item};
+use heatherrun_routing::fleet::{Change, Fleet, Services};
+use heatherrun_routing::learned::Learned;
+use heatherrun_routing::table::Table;
+use heatherrun_routing::target::Distance;
+
+use crate::metrics::Metrics;
+
+/// Time for which a node that is gone still counts as one that shares a
+/// bound, so that the shares of the others do not grow while it may send.
+const SHARE_TIME: Duration = Duration::from_secs(20);
+
+/// What does not change while the node runs.
+#[derive(Clone, Debug)]
+pub struct Info {
+    /// This node.
+    pub me: NodeEntry,
+    /// Region of each failure domain.
+    pub regions: HashMap<Name, Name>,
+    /// Bound on extra calls.
+    pub extra: ExtraBound,
+}
+
+/// Part of the state that only the control side changes.
+#[derive(Debug, Default)]
+struct Inner {
+    feed: Feed,
+    fleet: Fleet,
+    nodes: BTreeMap<Arc<str>, NodeEntry>,
+    /// When each node was last known to live.
+    seen: HashMap<Name, Time>,
+    /// When the feed was last known to be whole.
+    fresh: Time,
+}
+
+/// All that a node knows.
+pub struct State {
+    /// What does not change.
+    pub info: Info,
+    /// Clock.
+    pub clock: Clock,
+    /// The deployment's wire.
+    pub site: &'static Site,
+    /// Routes in force; none before the first configuration.
+    pub table: ArcSwapOption<Table>,
+    /// Targets of each service.
+    pub services: ArcSwap<Services>,
+    /// Failure domains that operators took out.
+    pub out: ArcSwap<HashSet<Name>>,
+    /// Live nodes, this one included.
+    pub nodes: ArcSwap<Vec<NodeEntry>>,
+    /// What is learned of routes and services.
+    pub learned: Learned,
+    /// Connections to targets.
+    pub targets: Client,
+    /// Counters and latencies.
+    pub metrics: Metrics,
+    stopping: AtomicBool,
+    sharing: AtomicU32,
+    inner: Mutex<Inner>,
+}
+
+impl State {
+    /// State of a node that knows nothing yet.
+    #[must_use]
+    pub fn new(info: Info, clock: Clock, site: &'static Site) -> Arc<Self> {
+        Arc::new(Self {
+            info,
+            clock,
+            site,
+            table: ArcSwapOption::empty(),
+            services: ArcSwap::default(),
+            out: ArcSwap::default(),
+            nodes: ArcSwap::default(),
+            learned: Learned::default(),
+            targets: Client::default(),
+            metrics: Metrics::default(),
+            stopping: AtomicBool::new(false),
+            sharing: AtomicU32::new(1),
+            inner: Mutex::default(),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the planned stop has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins the planned stop.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.table.load().is_some()
+    }
+
+    /// Nodes that may send to targets now or did so lately.
+    #[must_use]
+    pub fn sharing(&self) -> u32 {
+        self.sharing.load(Ordering::Relaxed).max(1)
+    }
+
+    /// Revision up to which all is known.
+    #[must_use]
+    pub fn at(&self) -> u64 {
+        self.lock().feed.at()
+    }
+
+    /// Time since all was known.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.clock.now().since(self.lock().fresh)
+    }
+
+    /// What another node lacks, and how old it is.
+    #[must_use]
+    pub fn since(&self, after: u64) -> (Delta, Duration) {
+        let inner = self.lock();
+        let age = self.clock.now().since(inner.fresh);
+        (inner.feed.since(after), age)
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn outage_ended(&self) {
+        let now = self.clock.now();
+        self.lock().fleet.outage_ended(now);
+    }
+
+    /// Takes what changed in the store, known to be whole at `fresh`.
+    pub fn apply(&self, delta: Delta, fresh: Time) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.fresh = inner.fresh.max(fresh);
+        let items = inner.feed.apply(delta);
+        let mut targets = inner.fleet.expire(now);
+        for item in &items {
+            targets |= self.take(&mut inner, now, item);
+        }
+        if targets {
+            self.services.store(Arc::new(inner.fleet.services()));
+        }
+        self.count_nodes(&mut inner, now);
+    }
+
+    /// Takes one item; true when the set of targets changed.
+    fn take(&self, inner: &mut Inner, now: Time, item: &Item) -> bool {
+        if let Some(name) = item.key.strip_prefix(self.site.nodes) {
+            take_node(inner, name, item);
+            return false;
+        }
+        let fact = match (self.site.fact)(&item.key, item.value.as_deref()) {
+            Ok(fact) => fact,
+            Err(bad) => {
+                let key = bad.key.as_str();
+                log::warn!(key, revision = item.revision, why = bad.why.as_str(); "item.unreadable");
+                return false;
+            }
+        };
+        let revision = item.revision;
+        match fact {
+            Fact::Target(entry) => {
+                let distance = self.distance(&entry.domain);
+                let (id, domain) = (Arc::clone(&entry.id), Arc::clone(&entry.domain));
+                let change = inner.fleet.put(now, entry, distance);
+                match change {
+                    Change::New => {
+                        log::info!(target = &*id, domain = &*domain, revision; "target.new");
+                    }
+                    Change::Draining => log::info!(target = &*id, revision; "target.draining"),
+                    Change::Stale => log::debug!(target = &*id, revision; "target.stale"),
+                    Change::None => {}
+                }
+                change == Change::New
+            }
+            Fact::TargetGone(id) => {
+                let gone = inner.fleet.remove(now, &id);
+                log::info!(target = &*id, revision, gone; "target.lapsed");
+                gone
+            }
+            Fact::DomainOut(domain) => {
+                log::info!(domain = &*domain, revision; "domain.out");
+                let mut out = HashSet::clone(&self.out.load());
+                out.insert(domain);
+                self.out.store(Arc::new(out));
+                false
+            }
+            Fact::DomainBack(domain) => {
+                log::info!(domain = &*domain, revision; "domain.back");
+                let mut out = HashSet::clone(&self.out.load());
+                out.remove(&domain);
+                self.out.store(Arc::new(out));
+                false
+            }
+            Fact::Config(config) => {
+                let known = self.table.load();
+                if known
+                    .as_ref()
+                    .is_some_and(|t| t.config().version >= config.version)
+                {
+                    return false;
+                }
+                log::info!(version = config.version, revision; "config.in-force");
+                let routes: HashSet<_> = config.routes.iter().map(|r| &r.name).collect();
+                let services: HashSet<_> = config.services.iter().map(|s| &s.name).collect();
+                self.learned
+                    .retain(|n| routes.contains(n), |n| services.contains(n));
+                let table = Table::new(Arc::from(config), now.0);
+                self.table.store(Some(Arc::new(table)));
+                false
+            }
+            Fact::Other => false,
+        }
+    }
+
+    /// Publishes the live nodes and counts those that share bounds.
+    fn count_nodes(&self, inner: &mut Inner, now: Time) {
+        let names: Vec<_> = inner.nodes.values().map(|n| Arc::clone(&n.name)).collect();
+        for name in names {
+            inner.seen.insert(name, now);
+        }
+        inner.seen.retain(|_, at| now.since(*at) < SHARE_TIME);
+        let sharing = u32::try_from(inner.seen.len()).unwrap_or(u32::MAX);
+        self.sharing.store(sharing, Ordering::Relaxed);
+        let nodes: Vec<_> = inner.nodes.values().cloned().collect();
+        if nodes != **self.nodes.load() {
+            self.nodes.store(Arc::new(nodes));
+        }
+    }
+
+    /// How far a failure domain is.
+    #[must_use]
+    pub fn distance(&self, domain: &str) -> Distance {
+        if *domain == *self.info.me.domain {
+            return Distance::Domain;
+        }
+        match self.info.regions.get(domain) {
+            Some(region) if *region == self.info.me.region => Distance::Region,
+            _ => Distance::Far,
+        }
+    }
+}
+
+/// Takes the entry of a node.
+fn take_node(inner: &mut Inner, name: &str, item: &Item) {
+    let Some(value) = &item.value else {
+        log::info!(node = name, revision = item.revision; "node.gone");
+        inner.nodes.remove(name);
+        return;
+    };
+    match serde_json::from_slice::<NodeEntry>(value) {
+        Ok(entry) => {
+            log::info!(node = name, revision = item.revision; "node.live");
+            inner.nodes.insert(Arc::from(name), entry);
+        }
+        Err(e) => {
+            let key = &*item.key;
+            log::warn!(key, revision = item.revision, why:% = e; "item.unreadable");
+        }
+    }
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -3,13 +3,15 @@
 //!
 //! Nothing here opens a socket, starts a thread or keeps a store. Data flows
 //! through the files in this order: [`id`], [`time`], [`message`], [`control`],
-//! [`view`], [`port`], [`registry`].
+//! [`view`], [`routes`], [`port`], [`site`], [`registry`].
 
 pub mod control;
 pub mod id;
 pub mod message;
 pub mod port;
 pub mod registry;
+pub mod routes;
+pub mod site;
 pub mod time;
 pub mod view;
 
--- a/crates/kernel/src/port.rs
+++ b/crates/kernel/src/port.rs
@@ -89,6 +89,13 @@
         /// Lease with which the key goes; zero for none.
         lease: u64,
     },
+    /// Reads keys below `prefix`, a page at a time. Pages are no snapshot.
+    List {
+        /// Prefix of the keys.
+        prefix: String,
+        /// Only keys behind this one; empty for the first page.
+        after: String,
+    },
     /// Waits up to `wait` for keys below `prefix` newer than `after`.
     Watch {
         /// Prefix of the keys.
@@ -163,6 +170,8 @@
     Conflict(Revision),
     /// Keys that changed, oldest first, and the store's revision.
     Changes(Vec<KeyValue>, Revision),
+    /// Keys in their order, whether more follow, and the store's revision.
+    Page(Vec<KeyValue>, bool, Revision),
     /// A lease was taken or renewed.
     Lease(u64),
     /// The lease is not known any more.
@@ -182,6 +191,9 @@
         "the platform's store gave no answer; read the key to learn whether a write took effect"
     )]
     NoAnswer,
+    /// The store's history does not reach back to the revision asked for.
+    #[error("the store forgot these changes; read all keys again")]
+    Forgotten,
     /// The call breaks a limit of the store.
     #[error("the value exceeds the store's limit of one megabyte; split the configuration")]
     TooLarge,
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -29,13 +29,20 @@
 
 /// Estimate of one quantile, moved a little by each call.
 #[derive(Debug, Default)]
-struct Quantile {
+pub struct Quantile {
     micros: AtomicU64,
     calls: AtomicU32,
 }
 
 impl Quantile {
-    fn note(&self, took: u64) {
+    /// The estimate in microseconds; zero while nothing is learned.
+    #[must_use]
+    pub fn get(&self) -> u64 {
+        self.micros.load(Ordering::Relaxed)
+    }
+
+    /// Notes the latency of a call in microseconds.
+    pub fn note(&self, took: u64) {
         let calls = self.calls.load(Ordering::Relaxed);
         if calls < SETTLED {
             self.calls.store(calls + 1, Ordering::Relaxed);
@@ -92,11 +99,11 @@
     #[must_use]
     pub fn delay(&self, shard: ShardIx, first: Duration) -> Duration {
         let known = self.shards.get(usize::from(shard.0));
-        let own = known.map_or(0, |q| q.micros.load(Ordering::Relaxed));
+        let own = known.map_or(0, Quantile::get);
         if own == 0 {
             return first;
         }
-        let bound = self.service.micros.load(Ordering::Relaxed) * SHARD_PERCENT / 100;
+        let bound = self.service.get() * SHARD_PERCENT / 100;
         Duration::from_micros(own.min(bound)).clamp(LEAST, MOST)
     }
 }
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -21,6 +21,7 @@
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -30,6 +31,16 @@
 /// Time after which an unused connection closes.
 const IDLE_TIME: Duration = Duration::from_secs(30);
 
+/// Time after which bytes that a peer does not acknowledge end a connection.
+const SILENT_TIME: Duration = Duration::from_secs(3);
+
+/// Idle time after which the kernel asks whether the peer is there, and the
+/// time between two such questions.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(2);
+
+/// Unanswered questions that end a connection.
+const KEEPALIVE_TRIES: u32 = 2;
+
 /// Bytes of a reply's headers and read buffer at the most.
 const BUFFER_BYTES: usize = 64 * 1024;
 
@@ -39,6 +50,9 @@
     /// No byte of the request was sent.
     #[error("no connection; the request was not sent")]
     NotSent,
+    /// All connections to the address are in use.
+    #[error("no free connection; the request was not sent")]
+    Full,
     /// Time ran out before a byte of the request was sent.
     #[error("no connection in time; the request was not sent")]
     Expired,
@@ -129,7 +143,12 @@
                 return Err(ExchangeError::Expired);
             }
             let sent = tokio::time::timeout_at(end, link.send(request, route.reply)).await;
-            match sent.map_err(|_| ExchangeError::TimedOut)? {
+            let Ok(sent) = sent else {
+                // A connection that went silent seldom does so alone.
+                pool.lock().clear();
+                return Err(ExchangeError::TimedOut);
+            };
+            match sent {
                 Sent::Unsent(again) if kept => request = again,
                 Sent::Unsent(_) => return Err(ExchangeError::NotSent),
                 Sent::Failed(error) => return Err(error),
@@ -250,7 +269,7 @@
         let step = |open: usize| (open < route.connections).then_some(open + 1);
         self.count
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, step)
-            .map_err(|_| ExchangeError::NotSent)?;
+            .map_err(|_| ExchangeError::Full)?;
         let place = Place(Arc::clone(&self.count));
         let connecting = tokio::time::timeout(CONNECT_TIME, connect(route.address, place));
         let link = connecting.await.map_err(|_| ExchangeError::NotSent)??;
@@ -283,11 +302,29 @@
     }
 }
 
+/// Makes a peer that vanished without a reset known: the kernel gives up on
+/// bytes that it does not acknowledge and asks after it while the connection
+/// is idle.
+fn set_options(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let alive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_TIME)
+        .with_retries(KEEPALIVE_TRIES);
+    let set = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(SILENT_TIME)))
+        .and_then(|()| socket.set_tcp_keepalive(&alive));
+    if let Err(e) = set {
+        log::debug!(reason:% = e; "socket.options");
+    }
+}
+
 async fn connect(address: SocketAddr, place: Place) -> Result<Link, ExchangeError> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|_| ExchangeError::NotSent)?;
-    let _ = stream.set_nodelay(true);
+    set_options(&stream);
     let made = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -56,7 +56,7 @@
 }
 
 /// Frames of one connection, in both directions of bounded length.
-pub(crate) fn frames(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+pub fn frames(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
     let _ = stream.set_nodelay(true);
     LengthDelimitedCodec::builder()
         .max_frame_length(MESSAGE_BYTES)
--- a/crates/ports/src/platform.rs
+++ b/crates/ports/src/platform.rs
@@ -53,7 +53,7 @@
     };
     let reply = match client.exchange(route, request, |_| true).await {
         Ok(reply) => reply,
-        Err(ExchangeError::NotSent | ExchangeError::Expired) => {
+        Err(ExchangeError::NotSent | ExchangeError::Full | ExchangeError::Expired) => {
             return Err(StoreError::Unavailable);
         }
         Err(_) => return Err(StoreError::NoAnswer),
--- a/crates/ports/src/serving.rs
+++ b/crates/ports/src/serving.rs
@@ -55,9 +55,10 @@
         }
     }
 
-    /// Waits until an operator or the platform has begun the planned stop.
-    pub async fn stop_begun(&self) {
-        while !self.node.is_stopping() {
+    /// Waits until an operator or the platform has begun the planned stop of
+    /// `node`.
+    pub async fn stop_begun(node: Arc<Node>) {
+        while !node.is_stopping() {
             tokio::time::sleep(LOOK).await;
         }
     }
--- a/crates/ports/src/target.rs
+++ b/crates/ports/src/target.rs
@@ -79,7 +79,9 @@
     let sent = client.exchange(route, request, |reply| repeats(reply, &id));
     match sent.await {
         Ok(reply) => decode(&reply),
-        Err(ExchangeError::NotSent) => Err(CallError::not_run(Failure::NoConnection)),
+        Err(ExchangeError::NotSent | ExchangeError::Full) => {
+            Err(CallError::not_run(Failure::NoConnection))
+        }
         Err(ExchangeError::Expired) => Err(CallError::not_run(Failure::Expired)),
         Err(ExchangeError::Lost) => Err(CallError::unknown(Failure::ConnectionLost)),
         Err(ExchangeError::TimedOut) => Err(CallError::unknown(Failure::TimedOut)),
--- a/crates/ports/tests/platform.rs
+++ b/crates/ports/tests/platform.rs
@@ -22,10 +22,12 @@
         Ok(StoreReply::Changes(..)) => "changes",
         Ok(StoreReply::Lease(_)) => "lease",
         Ok(StoreReply::NoLease) => "no-lease",
+        Ok(StoreReply::Page(..)) => "page",
         Ok(StoreReply::Vms(_)) => "vms",
         Err(StoreError::Unavailable) => "unavailable",
         Err(StoreError::NoAnswer) => "no-answer",
         Err(StoreError::TooLarge) => "too-large",
+        Err(StoreError::Forgotten) => "forgotten",
     }
 }
 
--- a/crates/schema/src/fields.rs
+++ b/crates/schema/src/fields.rs
@@ -8,6 +8,8 @@
     Text,
     /// Whole number that is not negative.
     Number,
+    /// Number that is not negative, with or without a fraction.
+    Fraction,
     /// True or false.
     Flag,
     /// Message of this name.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -62,7 +62,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Settings {
     /// Settings of one daemon.
-    Node(NodeSettings),
+    Node(Box<NodeSettings>),
     /// Configuration of the tier.
     Tier(TierConfig),
 }
@@ -102,7 +102,7 @@
 /// [`SettingsError`] with every fault of the file.
 pub fn check(file: &str, text: &str) -> Result<Checked<Settings>, SettingsError> {
     match shape::kind(text) {
-        FileKind::Node => read_node(file, text).map(|c| c.map(Settings::Node)),
+        FileKind::Node => read_node(file, text).map(|c| c.map(|n| Settings::Node(Box::new(n)))),
         FileKind::Tier => read_tier(file, text).map(|c| c.map(Settings::Tier)),
     }
 }
--- a/crates/settings/src/shape.rs
+++ b/crates/settings/src/shape.rs
@@ -15,11 +15,14 @@
 use crate::nearest::nearest;
 
 /// Keys that may be left out, with the message that holds them.
-const OPTIONAL: [(&str, &str); 14] = [
+const OPTIONAL: [(&str, &str); 17] = [
     ("NodeSettings", "log"),
     ("NodeSettings", "metrics"),
     ("NodeSettings", "address_secs"),
     ("NodeSettings", "stop_secs"),
+    ("NodeSettings", "gateway"),
+    ("GatewaySettings", "directory"),
+    ("GatewaySettings", "scrape"),
     ("FailureDomain", "out"),
     ("Service", "sharded"),
     ("Service", "pooled"),
@@ -284,6 +287,12 @@
                     return Some(Value::Number(Number::from(number)));
                 }
             }
+            (FieldKind::Fraction, Node::NumberLit(number)) => {
+                let fraction = number.value.parse::<f64>().ok().filter(|f| *f >= 0.0);
+                if let Some(fraction) = fraction.and_then(Number::from_f64) {
+                    return Some(Value::Number(fraction));
+                }
+            }
             (FieldKind::Message(name), Node::Object(object)) => {
                 let message = fields::message(name)?;
                 return Some(self.object(object, message, key));
@@ -325,6 +334,7 @@
         FieldKind::Text => "a text in double quotes".to_owned(),
         FieldKind::Flag => "true or false".to_owned(),
         FieldKind::Message(name) => format!("an object of {}", keys(name)),
+        FieldKind::Fraction => "a number of at least 0".to_owned(),
         FieldKind::Number => match UNITS.iter().find(|(end, _)| field.name.ends_with(end)) {
             Some((_, unit)) => format!("a whole number of {unit}, without a unit"),
             None => format!("a whole number from 0 to {}", u32::MAX),
