A target in another region must gain 30 ms: fewer bytes between regions

Cause: one slow reply near made the mean exceed that of a far target, so over half of the bytes crossed regions. Change: FAR 6 to 30 ms in the choice.

--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -20,7 +20,7 @@
 
 /// Latency that a target in another region must gain to be chosen, in
 /// microseconds: bytes between regions cost.
-const FAR: u64 = 6_000;
+const FAR: u64 = 30_000;
 
 /// What bounds the choice.
 pub struct Choices<'a> {
