One late reply moves a target's mean by a bounded step

Change: a sample counts for at most three times the expected latency and 5 ms; a slow turn still shows in four.

--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -17,6 +17,12 @@
 /// a few replies.
 const RISE: u64 = 3;
 
+/// Factor over the expected latency, and microseconds beyond it, at which one
+/// reply is cut: one that waited for a pause is no sign of a slow turn, several
+/// late ones in a row are.
+const MOST_JUMP: u64 = 3;
+const JUMP_ROOM: u64 = 5_000;
+
 /// Time after which what was seen of a target counts half as much. A target
 /// that is avoided for its latency is tried again that way.
 const HALF_LIFE: Duration = Duration::from_millis(1_500);
@@ -306,6 +312,7 @@
             took
         } else {
             let old = self.expected(now);
+            let took = took.min(old * MOST_JUMP + JUMP_ROOM);
             let weight = if took > old { RISE } else { SMOOTHING };
             (old * (weight - 1) + took) / weight
         };
