The first whole read of the store may be stale; leases renewed each 2 s

Cause: each node reads all pages at its start, at the full price of a call. Change: StoreCall::List says whether it may be stale; the changes since then follow at once. Leases of 5 s.

--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -265,7 +265,7 @@
                 value,
                 lease,
             } => return self.swap(key, expect, value, lease),
-            StoreCall::List { prefix, after } => self.page(&prefix, &after),
+            StoreCall::List { prefix, after, .. } => self.page(&prefix, &after),
             StoreCall::Watch { prefix, after, .. } => self.changes(&prefix, after),
             StoreCall::Grant { ttl } => {
                 self.revision += 1;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -9,10 +9,10 @@
 
 /// Time after which the entry of a node that died is gone. The users' bound
 /// for naming a dead node is `contactMs` and 3 s.
-const LEASE_TIME: Duration = Duration::from_secs(4);
+const LEASE_TIME: Duration = Duration::from_secs(5);
 
-/// Time between renewals: two may fail before the lease ends.
-const RENEW_TIME: Duration = Duration::from_millis(1_300);
+/// Time between renewals: one may fail before the lease ends.
+const RENEW_TIME: Duration = Duration::from_secs(2);
 
 /// Pause after a call that failed.
 const AGAIN: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -79,8 +79,9 @@
         {
             return ASK_TIME;
         }
+        let first = self.state.at() == 0;
         if self.read().await {
-            return READ_TIME;
+            return if first { Duration::ZERO } else { READ_TIME };
         }
         let others = self.others();
         for other in others {
@@ -141,10 +142,11 @@
         let sent = self.state.clock.now();
         let at = self.state.at();
         let read = if at == 0 {
-            self.read_all().await
+            // The first read may be old: the changes since then follow at once.
+            self.read_all(true).await
         } else {
             match self.read_changes(at).await {
-                Err(StoreError::Forgotten) => self.read_all().await,
+                Err(StoreError::Forgotten) => self.read_all(false).await,
                 read => read,
             }
         };
@@ -185,7 +187,7 @@
 
     /// Reads all pages. They are no snapshot: what changed meanwhile comes
     /// with the changes after the first page's revision.
-    async fn read_all(&self) -> Result<Delta, StoreError> {
+    async fn read_all(&self, stale: bool) -> Result<Delta, StoreError> {
         let mut items = Vec::new();
         let mut first = None;
         let mut after = String::new();
@@ -193,6 +195,7 @@
             let call = StoreCall::List {
                 prefix: self.state.site.prefix.to_owned(),
                 after: after.clone(),
+                stale,
             };
             let StoreReply::Page(page, more, at) = (self.platform.call)(call).await? else {
                 return Err(StoreError::NoAnswer);
--- a/crates/kernel/src/port.rs
+++ b/crates/kernel/src/port.rs
@@ -95,6 +95,8 @@
         prefix: String,
         /// Only keys behind this one; empty for the first page.
         after: String,
+        /// Whether it may be some seconds old, which costs less.
+        stale: bool,
     },
     /// Waits up to `wait` for keys below `prefix` newer than `after`.
     Watch {
