The HTTP client keeps no buffers on idle connections and skips another request's late answer

Cause: an idle connection of the library's client holds about 16 KB; 170 of them were half of a node's memory. A late second answer on a kept connection failed the call that read it. Change: ports::http_exchange frames one exchange over httparse; the tier's own targets stay as strict as before (a crossed reply fails the call).

--- a/crates/bench/benches/wire/load.rs
+++ b/crates/bench/benches/wire/load.rs
@@ -6,10 +6,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use heatherrun_ports::http_client::{Client, Route};
+use heatherrun_ports::http_client::{Client, Route, Whose};
 use heatherrun_schema::v1;
 use http::{Request, StatusCode};
-use http_body_util::Full;
 
 use crate::usage;
 
@@ -121,7 +120,7 @@
     let body = serde_json::to_vec(&ask).unwrap_or_default();
     let request = Request::post("/search")
         .header(http::header::HOST, "tier")
-        .body(Full::new(Bytes::from(body)))
+        .body(Bytes::from(body))
         .unwrap_or_default();
     let route = Route {
         address,
@@ -129,7 +128,7 @@
         reply: ANSWER_BYTES,
         left: DEADLINE * 2,
     };
-    let Ok(reply) = client.exchange(route, request, |_| true).await else {
+    let Ok(reply) = client.exchange(route, request, |_| Whose::Own).await else {
         return false;
     };
     let answer = serde_json::from_slice::<v1::SearchAnswer>(reply.body());
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -5,12 +5,11 @@
 use bytes::Bytes;
 use heatherrun_kernel::Time;
 use heatherrun_kernel::time::micros;
-use heatherrun_ports::http_client::{ExchangeError, Route};
+use heatherrun_ports::http_client::{ExchangeError, Route, Whose};
 use heatherrun_routing::learned::RouteLatency;
 use heatherrun_routing::scatter::{CallEnd, CallIx, Send};
 use heatherrun_routing::target::Target;
 use http::{HeaderMap, Method, Request, Response, Uri};
-use http_body_util::Full;
 
 use crate::state::State;
 
@@ -84,11 +83,15 @@
         left,
     };
     let request = request(&state, &out, &send.target, left);
-    let own = |reply: &Response<Bytes>| {
+    let whose = |reply: &Response<Bytes>| {
         let head = (state.site.reply)(reply.status(), reply.headers());
-        head.id.is_none_or(|id| id == out.id)
+        if head.id.is_none_or(|id| id == out.id) {
+            Whose::Own
+        } else {
+            Whose::Earlier
+        }
     };
-    let exchanged = state.targets.exchange(route, request, own).await;
+    let exchanged = state.targets.exchange(route, request, whose).await;
     flight.ended = true;
     let now = state.clock.now();
     let (end, reply) = match exchanged {
@@ -108,8 +111,8 @@
     }
 }
 
-fn request(state: &State, out: &Outgoing, target: &Target, left: Duration) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(out.body.clone()));
+fn request(state: &State, out: &Outgoing, target: &Target, left: Duration) -> Request<Bytes> {
+    let mut request = Request::new(out.body.clone());
     *request.method_mut() = out.method.clone();
     *request.uri_mut() = out.uri.clone();
     *request.headers_mut() = out.headers.clone();
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -1,10 +1,11 @@
 //! HTTP connections that are kept and reused, at most so many per address.
 //!
-//! A connection is driven by the task that uses it. A call that is given up
-//! drops its connection with it, so that no later call can read its reply.
+//! A connection is used by one call at a time. A call that is given up drops
+//! its connection with it, so that no later call can read its reply.
 
 use std::{
     collections::HashMap,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -15,16 +16,14 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use futures::FutureExt;
-use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
-use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper_util::rt::TokioIo;
+use http::{HeaderMap, HeaderName, Request, Response};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+pub use crate::http_exchange::Whose;
+use crate::http_exchange::{self, Sent};
+
 /// Longest wait for a connection.
 const CONNECT_TIME: Duration = Duration::from_secs(1);
 
@@ -41,8 +40,9 @@
 /// Unanswered questions that end a connection.
 const KEEPALIVE_TRIES: u32 = 2;
 
-/// Bytes of a reply's headers and read buffer at the most.
-const BUFFER_BYTES: usize = 64 * 1024;
+/// Part of the time that a peer keeps an idle connection in which it is not
+/// used any more, so that a request does not cross the peer's close.
+const KEEP_MARGIN: Duration = Duration::from_millis(500);
 
 /// Failure of one exchange.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
@@ -82,9 +82,10 @@
 
 /// One open connection; it closes when dropped.
 struct Link {
-    sender: SendRequest<Full<Bytes>>,
-    connection: Box<Connection<TokioIo<TcpStream>, Full<Bytes>>>,
+    stream: TcpStream,
     used: Instant,
+    /// Idle time after which it is not used any more.
+    keep: Duration,
     _place: Place,
 }
 
@@ -122,7 +123,7 @@
     }
 
     /// Sends a request over an idle connection or a new one, and reads the
-    /// whole reply. The connection is kept only if `own` finds that the reply
+    /// whole reply. The connection is kept only if `whose` finds that the reply
     /// belongs to the request.
     ///
     /// # Errors
@@ -130,8 +131,8 @@
     pub async fn exchange(
         &self,
         route: Route,
-        mut request: Request<Full<Bytes>>,
-        own: impl Fn(&Response<Bytes>) -> bool,
+        request: Request<Bytes>,
+        whose: impl Fn(&Response<Bytes>) -> Whose,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let pool = self.pool(route.address);
         let end = Instant::now() + route.left;
@@ -142,21 +143,19 @@
             if Instant::now() >= end {
                 return Err(ExchangeError::Expired);
             }
-            let sent = tokio::time::timeout_at(end, link.send(request, route.reply)).await;
-            let Ok(sent) = sent else {
+            let sent = http_exchange::send(&mut link.stream, &request, route.reply, &whose);
+            let Ok(sent) = tokio::time::timeout_at(end, sent).await else {
                 // A connection that went silent seldom does so alone.
                 pool.lock().clear();
                 return Err(ExchangeError::TimedOut);
             };
             match sent {
-                Sent::Unsent(again) if kept => request = again,
-                Sent::Unsent(_) => return Err(ExchangeError::NotSent),
+                Sent::Unsent if kept => {}
+                Sent::Unsent => return Err(ExchangeError::NotSent),
                 Sent::Failed(error) => return Err(error),
-                Sent::Replied(reply) => {
-                    if !own(&reply) {
-                        return Err(ExchangeError::BadReply);
-                    }
-                    if !self.unkept {
+                Sent::Replied(reply, keeps) => {
+                    if keeps && !self.unkept {
+                        link.keep = keep(reply.headers()).unwrap_or(IDLE_TIME);
                         pool.put_back(link);
                     }
                     return Ok(reply);
@@ -187,67 +186,23 @@
     }
 }
 
-/// What became of a request on one connection.
-enum Sent {
-    /// The whole reply.
-    Replied(Response<Bytes>),
-    /// No byte of the request was sent.
-    Unsent(Request<Full<Bytes>>),
-    /// The request may have run.
-    Failed(ExchangeError),
+/// Time for which the peer says that it keeps the connection when idle.
+fn keep(headers: &HeaderMap) -> Option<Duration> {
+    const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let mut parts = value.split(',').map(str::trim);
+    let secs = parts.find_map(|p| p.strip_prefix("timeout="))?;
+    let time = Duration::from_secs(secs.trim().parse().ok()?);
+    Some(time.saturating_sub(KEEP_MARGIN).min(IDLE_TIME))
 }
 
 impl Link {
     /// Whether the connection can carry a request: the peer has neither
     /// closed it nor sent anything unasked.
-    fn is_fresh(&mut self) -> bool {
-        (&mut *self.connection).now_or_never().is_none() && self.sender.is_ready()
-    }
-
-    async fn send(&mut self, request: Request<Full<Bytes>>, most: usize) -> Sent {
-        let Self {
-            sender, connection, ..
-        } = self;
-        let exchange = exchange(sender, request, most);
-        tokio::pin!(exchange);
-        tokio::select! {
-            biased;
-            sent = &mut exchange => return sent,
-            _ = connection => {}
-        }
-        exchange.await
-    }
-}
-
-async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>,
-    request: Request<Full<Bytes>>,
-    most: usize,
-) -> Sent {
-    let response = match sender.try_send_request(request).await {
-        Ok(response) => response,
-        Err(mut e) => {
-            return match e.take_message() {
-                Some(request) => Sent::Unsent(request),
-                None => Sent::Failed(lost_or_bad(e.error())),
-            };
-        }
-    };
-    let (head, body) = response.into_parts();
-    if body.size_hint().lower() > most as u64 {
-        return Sent::Failed(ExchangeError::BadReply);
-    }
-    match Limited::new(body, most).collect().await {
-        Ok(body) => Sent::Replied(Response::from_parts(head, body.to_bytes())),
-        Err(_) => Sent::Failed(ExchangeError::BadReply),
-    }
-}
-
-fn lost_or_bad(error: &hyper::Error) -> ExchangeError {
-    if error.is_parse() {
-        ExchangeError::BadReply
-    } else {
-        ExchangeError::Lost
+    fn is_fresh(&self) -> bool {
+        let quiet = self.stream.try_read(&mut [0]);
+        let quiet = quiet.is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+        quiet && self.used.elapsed() < self.keep
     }
 }
 
@@ -259,7 +214,7 @@
     /// An idle connection, or a new one when there is none; true when idle.
     async fn take(self: &Arc<Self>, route: Route) -> Result<(Link, bool), ExchangeError> {
         loop {
-            let Some(mut link) = self.lock().pop() else {
+            let Some(link) = self.lock().pop() else {
                 break;
             };
             if link.is_fresh() {
@@ -278,9 +233,6 @@
 
     /// Keeps a connection whose reply has been read whole.
     fn put_back(self: &Arc<Self>, mut link: Link) {
-        if (&mut *link.connection).now_or_never().is_some() {
-            return;
-        }
         link.used = Instant::now();
         self.lock().push(link);
         if !self.swept.swap(true, Ordering::AcqRel) {
@@ -293,7 +245,7 @@
         loop {
             tokio::time::sleep(IDLE_TIME).await;
             let mut idle = self.lock();
-            idle.retain(|link| link.used.elapsed() < IDLE_TIME);
+            idle.retain(|link| link.used.elapsed() < link.keep);
             if idle.is_empty() {
                 self.swept.store(false, Ordering::Release);
                 return;
@@ -325,15 +277,10 @@
         .await
         .map_err(|_| ExchangeError::NotSent)?;
     set_options(&stream);
-    let made = http1::Builder::new()
-        .max_buf_size(BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await;
-    let (sender, connection) = made.map_err(|_| ExchangeError::NotSent)?;
     Ok(Link {
-        sender,
-        connection: Box::new(connection),
+        stream,
         used: Instant::now(),
+        keep: IDLE_TIME,
         _place: place,
     })
 }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod http_client;
+mod http_exchange;
 mod http_io;
 pub mod http_reply;
 pub mod http_server;
--- a/crates/ports/src/platform.rs
+++ b/crates/ports/src/platform.rs
@@ -6,9 +6,8 @@
 use heatherrun_kernel::port::{Platform, StoreCall, StoreError, StoreReply, async_fn};
 use heatherrun_kernel::registry::{Make, Plugin, inventory};
 use http::{Request, StatusCode};
-use http_body_util::Full;
 
-use crate::http_client::{Client, ExchangeError, Route};
+use crate::http_client::{Client, ExchangeError, Route, Whose};
 
 /// Connections to the platform at the most.
 const CONNECTIONS: usize = 4;
@@ -43,7 +42,7 @@
     let body = serde_json::to_vec(&call).map_err(|_| StoreError::Unavailable)?;
     let request = Request::post("/store")
         .header(http::header::HOST, "platform")
-        .body(Full::new(Bytes::from(body)))
+        .body(Bytes::from(body))
         .map_err(|_| StoreError::Unavailable)?;
     let route = Route {
         address,
@@ -51,7 +50,7 @@
         reply: REPLY_BYTES,
         left: wait + CALL_TIME,
     };
-    let reply = match client.exchange(route, request, |_| true).await {
+    let reply = match client.exchange(route, request, |_| Whose::Own).await {
         Ok(reply) => reply,
         Err(ExchangeError::NotSent | ExchangeError::Full | ExchangeError::Expired) => {
             return Err(StoreError::Unavailable);
--- a/crates/ports/src/target.rs
+++ b/crates/ports/src/target.rs
@@ -13,9 +13,8 @@
 use heatherrun_kernel::{CallId, TargetId};
 use http::header::{HOST, HeaderMap, HeaderValue};
 use http::{Method, Request, Response, StatusCode, Uri};
-use http_body_util::Full;
 
-use crate::http_client::{Client, ExchangeError, Route};
+use crate::http_client::{Client, ExchangeError, Route, Whose};
 use crate::wire;
 
 /// Longest reply of a target, in bytes.
@@ -101,14 +100,18 @@
     text.unwrap_or_else(|_| HeaderValue::from_static(""))
 }
 
-/// Whether a reply repeats the identifier of the call.
-fn repeats(reply: &Response<Bytes>, id: &HeaderValue) -> bool {
-    reply.headers().get(&wire::CALL) == Some(id)
+/// A reply repeats the identifier of its call.
+fn repeats(reply: &Response<Bytes>, id: &HeaderValue) -> Whose {
+    if reply.headers().get(&wire::CALL) == Some(id) {
+        Whose::Own
+    } else {
+        Whose::Crossed
+    }
 }
 
 /// Request to a target's path with the identifier of a call.
-fn post(path: &'static str, id: &HeaderValue, body: Bytes) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(body));
+fn post(path: &'static str, id: &HeaderValue, body: Bytes) -> Request<Bytes> {
+    let mut request = Request::new(body);
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static(path);
     let mut headers = HeaderMap::with_capacity(HEADERS);
@@ -118,7 +121,7 @@
     request
 }
 
-fn encode(call: &TargetCall, id: &HeaderValue) -> Request<Full<Bytes>> {
+fn encode(call: &TargetCall, id: &HeaderValue) -> Request<Bytes> {
     let kind = match call.kind {
         CallKind::Search => "search",
         CallKind::Repeatable => "repeatable",
@@ -185,7 +188,7 @@
         reply: REPLY_BYTES,
         left: CANCEL_TIME,
     };
-    let _ = client.exchange(route, request, |_| true).await;
+    let _ = client.exchange(route, request, |_| Whose::Own).await;
 }
 
 async fn report(client: &Client, endpoint: Endpoint) -> Option<TargetReport> {
@@ -196,7 +199,7 @@
         reply: REPLY_BYTES,
         left: REPORT_TIME,
     };
-    let reply = client.exchange(route, request, |_| true).await.ok()?;
+    let reply = client.exchange(route, request, |_| Whose::Own).await.ok()?;
     serde_json::from_slice(reply.body()).ok()
 }
 
--- a/crates/standins/examples/quickstart/caller.rs
+++ b/crates/standins/examples/quickstart/caller.rs
@@ -5,10 +5,9 @@
 
 use anyhow::Context as _;
 use bytes::Bytes;
-use heatherrun_ports::http_client::{Client, Route};
+use heatherrun_ports::http_client::{Client, Route, Whose};
 use heatherrun_schema::v1;
 use http::{Method, Request, StatusCode};
-use http_body_util::Full;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -93,14 +92,14 @@
             .method(method)
             .uri(path)
             .header(http::header::HOST, node.to_string())
-            .body(Full::new(body))?;
+            .body(body)?;
         let route = Route {
             address: node,
             connections: CONNECTIONS,
             reply: ANSWER_BYTES,
             left: WAIT,
         };
-        let reply = self.client.exchange(route, request, |_| true).await?;
+        let reply = self.client.exchange(route, request, |_| Whose::Own).await?;
         if reply.status() != StatusCode::OK {
             let refused = String::from_utf8_lossy(reply.body());
             anyhow::bail!("refused with {}: {refused}", reply.status());
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -6,11 +6,10 @@
 
 use bytes::Bytes;
 use heatherrun_fakes::searcher::Settings;
-use heatherrun_ports::http_client::{Client, ExchangeError, Route};
+use heatherrun_ports::http_client::{Client, ExchangeError, Route, Whose};
 use heatherrun_schema::v1;
 use heatherrun_standins::local::LocalTier;
 use http::{Request, Response, StatusCode};
-use http_body_util::Full;
 use serde::{Serialize, de::DeserializeOwned};
 
 pub const DOMAINS: [&str; 3] = ["wallis", "ticino", "zurich"];
@@ -67,7 +66,7 @@
 ) -> Result<Response<Bytes>, ExchangeError> {
     let request = Request::post(path)
         .header(http::header::HOST, "tier")
-        .body(Full::new(Bytes::from(serde_json::to_vec(ask).unwrap())))
+        .body(Bytes::from(serde_json::to_vec(ask).unwrap()))
         .unwrap();
     let route = Route {
         address,
@@ -75,7 +74,7 @@
         reply: 1 << 20,
         left: Duration::from_secs(30),
     };
-    client.exchange(route, request, |_| true).await
+    client.exchange(route, request, |_| Whose::Own).await
 }
 
 /// The answer, or the refusal when the status says so.
