Three readers of the store in each failure domain, and fewer tries of a store that turns a node away

Change: a node reads the store when up to three nodes ranked before it give nothing fresh; failures double the pause; a node that gave no answer is not asked for 2 s.

--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -14,7 +14,10 @@
 /// Time between renewals: one may fail before the lease ends.
 const RENEW_TIME: Duration = Duration::from_secs(2);
 
-/// Pause after a call that failed.
+/// Longest pause after calls that failed.
+const MOST_AGAIN: Duration = Duration::from_millis(1_200);
+
+/// Pause after a call that failed, doubled with each one in a row.
 const AGAIN: Duration = Duration::from_millis(300);
 
 /// Time in which a store must show a new entry before it is written again.
@@ -42,6 +45,7 @@
     /// entry back.
     pub async fn run(mut self) {
         let mut registered = self.state.clock.now();
+        let mut again = AGAIN;
         loop {
             if self.state.is_stopping() {
                 break;
@@ -59,10 +63,14 @@
                 self.renew().await
             };
             match done {
-                Ok(()) => self.pause(RENEW_TIME).await,
+                Ok(()) => {
+                    again = AGAIN;
+                    self.pause(RENEW_TIME).await;
+                }
                 Err(error) => {
                     log::info!(reason:% = error; "member.unregistered");
-                    self.pause(AGAIN).await;
+                    self.pause(again).await;
+                    again = (again * 2).min(MOST_AGAIN);
                 }
             }
         }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -4,7 +4,7 @@
 //! node. A node that gets no fresh answer reads the store itself, and one
 //! that the store turns away asks any other node.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use heatherrun_kernel::port::{KeyValue, Platform, StoreCall, StoreError, StoreReply};
 use heatherrun_kernel::routes::NodeEntry;
@@ -32,6 +32,20 @@
 /// Time without the store after which its entries may have lapsed.
 const OUTAGE: Duration = Duration::from_millis(2_500);
 
+/// Age from which a node that is no reader tries the store itself.
+const FALLBACK: Duration = Duration::from_secs(2);
+
+/// Nodes of a failure domain that read the store, each when those before it
+/// do not.
+const READERS: usize = 3;
+
+/// Time in which a node that gave no answer is not asked again.
+const MUTE_TIME: Duration = Duration::from_secs(2);
+
+/// Longest pause between two tries of a store that gives no answer. What a
+/// searcher registers meanwhile is known within 2 s of an outage's end.
+const MOST_PAUSE: Duration = Duration::from_millis(1_200);
+
 /// Pages of one whole read at the most.
 const PAGES: usize = 10_000;
 
@@ -47,6 +61,11 @@
     seeds: Vec<SocketAddr>,
     /// Whether the store answered this node last time.
     reached: bool,
+    /// When the store may be tried again, and the pause after a failure.
+    read_at: Time,
+    pause: Duration,
+    /// Nodes that gave no answer, and until when they are not asked.
+    mute: HashMap<SocketAddr, Time>,
 }
 
 impl Sync {
@@ -60,6 +79,9 @@
             peers: Peers::default(),
             seeds,
             reached: true,
+            read_at: Time::default(),
+            pause: AGAIN,
+            mute: HashMap::new(),
         }
     }
 
@@ -73,18 +95,20 @@
 
     /// One round; returns the pause before the next one.
     async fn round(&mut self) -> Duration {
-        let reader = self.reader();
-        if let Some(reader) = reader
-            && self.ask(reader, STALE).await
-        {
-            return ASK_TIME;
+        let (readers, is_reader) = self.readers();
+        for reader in readers {
+            if self.ask(reader, STALE).await {
+                return ASK_TIME;
+            }
         }
-        let first = self.state.at() == 0;
-        if self.read().await {
-            return if first { Duration::ZERO } else { READ_TIME };
+        let alone = self.state.at() == 0 || self.state.age() > FALLBACK;
+        if (is_reader || alone) && self.may_read() {
+            let first = self.state.at() == 0;
+            if self.read().await {
+                return if first { Duration::ZERO } else { READ_TIME };
+            }
         }
-        let others = self.others();
-        for other in others {
+        for other in self.others() {
             if self.ask(other, OUTAGE.max(self.state.age())).await {
                 return ASK_TIME;
             }
@@ -92,14 +116,23 @@
         AGAIN
     }
 
-    /// The node that reads the store for this one's failure domain; none when
-    /// that is this node, or nobody is known.
-    fn reader(&self) -> Option<SocketAddr> {
+    /// Whether the store may be tried: after failures it is tried less often.
+    fn may_read(&self) -> bool {
+        self.state.clock.now() >= self.read_at
+    }
+
+    /// Nodes of this failure domain that read the store before this node
+    /// does, and whether this node reads it when they do not.
+    fn readers(&self) -> (Vec<SocketAddr>, bool) {
         let me = &self.state.info.me;
         let nodes = self.state.nodes.load();
         let mates = nodes.iter().filter(|n| n.domain == me.domain);
-        let first = mates.min_by_key(|n| xxh3_64(n.name.as_bytes()))?;
-        (first.name != me.name).then_some(first.peers)
+        let mut mates: Vec<_> = mates.map(|n| (xxh3_64(n.name.as_bytes()), n)).collect();
+        mates.sort_unstable_by_key(|(rank, _)| *rank);
+        let before = mates.iter().take_while(|(_, n)| n.name != me.name);
+        let readers: Vec<_> = before.take(READERS).map(|(_, n)| n.peers).collect();
+        let is_reader = readers.len() < READERS;
+        (readers, is_reader)
     }
 
     /// Other nodes to ask: those near first, then the seeds.
@@ -115,11 +148,16 @@
 
     /// Asks another node; false when it does not answer, or knows nothing
     /// fresher than `most`.
-    async fn ask(&self, address: SocketAddr, most: Duration) -> bool {
+    async fn ask(&mut self, address: SocketAddr, most: Duration) -> bool {
         let sent = self.state.clock.now();
+        if self.mute.get(&address).is_some_and(|until| sent < *until) {
+            return false;
+        }
         let Some(pulled) = self.peers.changes(address, self.state.at()).await else {
+            self.mute.insert(address, self.state.clock.now() + MUTE_TIME);
             return false;
         };
+        self.mute.remove(&address);
         let Pulled { delta, age } = pulled;
         let age = Duration::from_micros(age);
         if delta.at == 0 || age > most {
@@ -156,6 +194,7 @@
                     log::info!("store.regained");
                 }
                 self.reached = true;
+                self.pause = AGAIN;
                 self.take(delta, sent);
                 true
             }
@@ -164,6 +203,8 @@
                     log::warn!(reason:% = error; "store.lost");
                 }
                 self.reached = false;
+                self.read_at = self.state.clock.now() + self.pause;
+                self.pause = (self.pause * 2).min(MOST_PAUSE);
                 false
             }
         }
