--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -147,6 +147,7 @@
         peers: parse(&node.peers, "peers")?,
         domain: Name::from(node.domain.as_str()),
         region: Name::from(own.region.as_str()),
+        power: own.cpu_share * own.cpu_speed,
     };
     let mut regions: HashMap<Name, Name> = HashMap::new();
     for domain in &own.domains {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,7 +13,7 @@
 use heatherrun_routing::fleet::Services;
 use heatherrun_routing::scatter::{Cause, Chosen, Context, Plan, Scatter, Send, SlotIx, Verdict};
 use heatherrun_routing::table::Table;
-use heatherrun_routing::target::{Distance, Target};
+use heatherrun_routing::target::Target;
 use http::{Response, StatusCode, header};
 
 use crate::calls::{self, Ended, Outgoing};
@@ -36,11 +36,6 @@
 /// searcher's pause is not worth keeping.
 const LOSER_TIME: Duration = Duration::from_millis(300);
 
-/// Share of a target's connections for the nodes of its region and for all
-/// others, in per cent.
-const NEAR_PERCENT: usize = 50;
-const FAR_PERCENT: usize = 45;
-
 /// When callers come again that were refused for want of a configuration.
 const AGAIN_UNREADY: Duration = Duration::from_millis(300);
 
@@ -188,7 +183,7 @@
     }
 
     fn call(&self, send: Send) -> impl Future<Output = Ended> + std::marker::Send + 'static {
-        let connections = self.room(&send.target);
+        let connections = usize::from(self.room(&send.target));
         calls::call(
             Arc::clone(&self.state),
             Arc::clone(&self.out),
@@ -198,17 +193,10 @@
     }
 
     /// Calls of this node that one target takes at once.
-    fn room(&self, target: &Target) -> usize {
+    fn room(&self, target: &Target) -> u16 {
         let service = self.table.service(&target.entry.service);
-        let connections = service.map_or(1, |s| usize::from(s.connections));
-        let nodes = self.state.nodes.load();
-        let region = self.state.info.regions.get(&target.entry.domain);
-        let near = nodes.iter().filter(|n| Some(&n.region) == region).count();
-        let (percent, sharing) = match target.distance {
-            Distance::Far => (FAR_PERCENT, nodes.len().saturating_sub(near)),
-            Distance::Domain | Distance::Region => (NEAR_PERCENT, near),
-        };
-        (connections * percent / 100 / sharing.max(1)).max(1)
+        let connections = service.map_or(1, |s| s.connections);
+        self.state.shares.load().room(&target.region, connections)
     }
 
     /// Runs a decision with what it needs to know.
@@ -219,10 +207,9 @@
         let out = state.out.load();
         let choices = Choices {
             regions: &self.route.regions,
-            region_of: &|domain| state.info.regions.get(domain).cloned(),
             is_out: &|domain| out.contains(domain),
             cold_room: &|target| self.cold_room(now, target),
-            room: &|target| u32::try_from(self.room(target)).unwrap_or(u32::MAX),
+            room: &|target| u32::from(self.room(target)),
         };
         let context = Context {
             choose: &|slot, tried| self.choose(now, &services, slot, tried, &choices),
@@ -230,7 +217,7 @@
                 let service = &self.shards[slot];
                 state
                     .learned
-                    .take_extra(now, service, &state.info.extra, state.sharing())
+                    .take_extra(now, service, &state.info.extra, state.shares.load().whole)
             },
             delay: &|target| self.out.latency.delay(target, self.route.objective),
         };
@@ -259,7 +246,7 @@
         let Some(cold) = service.and_then(|s| s.cold) else {
             return true;
         };
-        target.take_cold(now, cold.per_sec / f64::from(self.state.sharing()))
+        target.take_cold(now, cold.per_sec * self.state.shares.load().whole)
     }
 
     fn conclude(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, HashMap, HashSet},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
@@ -19,7 +19,8 @@
 use heatherrun_routing::fleet::{Change, Fleet, Services};
 use heatherrun_routing::learned::Learned;
 use heatherrun_routing::table::Table;
-use heatherrun_routing::target::Distance;
+use heatherrun_routing::share::Shares;
+use heatherrun_routing::target::{Distance, Place};
 
 use crate::metrics::Metrics;
 
@@ -44,8 +45,8 @@
     feed: Feed,
     fleet: Fleet,
     nodes: BTreeMap<Arc<str>, NodeEntry>,
-    /// When each node was last known to live.
-    seen: HashMap<Name, Time>,
+    /// Each node with the time when it was last known to live.
+    seen: HashMap<Name, (NodeEntry, Time)>,
     /// When the feed was last known to be whole.
     fresh: Time,
 }
@@ -73,7 +74,8 @@
     /// Counters and latencies.
     pub metrics: Metrics,
     stopping: AtomicBool,
-    sharing: AtomicU32,
+    /// This node's parts of what all nodes share.
+    pub shares: ArcSwap<Shares>,
     inner: Mutex<Inner>,
 }
 
@@ -93,7 +95,7 @@
             targets: Client::default(),
             metrics: Metrics::default(),
             stopping: AtomicBool::new(false),
-            sharing: AtomicU32::new(1),
+            shares: ArcSwap::default(),
             inner: Mutex::default(),
         })
     }
@@ -119,12 +121,6 @@
         !self.is_stopping() && self.table.load().is_some()
     }
 
-    /// Nodes that may send to targets now or did so lately.
-    #[must_use]
-    pub fn sharing(&self) -> u32 {
-        self.sharing.load(Ordering::Relaxed).max(1)
-    }
-
     /// Revision up to which all is known.
     #[must_use]
     pub fn at(&self) -> u64 {
@@ -184,9 +180,9 @@
         let revision = item.revision;
         match fact {
             Fact::Target(entry) => {
-                let distance = self.distance(&entry.domain);
+                let place = self.place(&entry.domain);
                 let (id, domain) = (Arc::clone(&entry.id), Arc::clone(&entry.domain));
-                let change = inner.fleet.put(now, entry, distance);
+                let change = inner.fleet.put(now, entry, place);
                 match change {
                     Change::New => {
                         log::info!(target = &*id, domain = &*domain, revision; "target.new");
@@ -239,29 +235,37 @@
 
     /// Publishes the live nodes and counts those that share bounds.
     fn count_nodes(&self, inner: &mut Inner, now: Time) {
-        let names: Vec<_> = inner.nodes.values().map(|n| Arc::clone(&n.name)).collect();
-        for name in names {
-            inner.seen.insert(name, now);
+        for node in inner.nodes.values() {
+            let name = Arc::clone(&node.name);
+            inner.seen.insert(name, (node.clone(), now));
+        }
+        inner.seen.retain(|_, (_, at)| now.since(*at) < SHARE_TIME);
+        let seen: Vec<_> = inner.seen.values().map(|(n, _)| n.clone()).collect();
+        let mut regions: Vec<Name> = self.info.regions.values().cloned().collect();
+        regions.sort_unstable();
+        regions.dedup();
+        let shares = Shares::of(&self.info.me, &seen, &regions);
+        if shares != **self.shares.load() {
+            self.shares.store(Arc::new(shares));
         }
-        inner.seen.retain(|_, at| now.since(*at) < SHARE_TIME);
-        let sharing = u32::try_from(inner.seen.len()).unwrap_or(u32::MAX);
-        self.sharing.store(sharing, Ordering::Relaxed);
         let nodes: Vec<_> = inner.nodes.values().cloned().collect();
         if nodes != **self.nodes.load() {
             self.nodes.store(Arc::new(nodes));
         }
     }
 
-    /// How far a failure domain is.
-    #[must_use]
-    pub fn distance(&self, domain: &str) -> Distance {
-        if *domain == *self.info.me.domain {
-            return Distance::Domain;
-        }
-        match self.info.regions.get(domain) {
-            Some(region) if *region == self.info.me.region => Distance::Region,
-            _ => Distance::Far,
-        }
+    /// Where a failure domain is.
+    fn place(&self, domain: &str) -> Place {
+        let me = &self.info.me;
+        let region = self.info.regions.get(domain).cloned().unwrap_or_default();
+        let distance = if *domain == *me.domain {
+            Distance::Domain
+        } else if region == me.region {
+            Distance::Region
+        } else {
+            Distance::Far
+        };
+        Place { region, distance }
     }
 }
 
--- a/crates/kernel/src/routes.rs
+++ b/crates/kernel/src/routes.rs
@@ -135,7 +135,7 @@
 }
 
 /// A node as it registered itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeEntry {
     /// Name.
     pub name: Name,
@@ -147,6 +147,8 @@
     pub domain: Name,
     /// Region.
     pub region: Name,
+    /// Processing power, in cores.
+    pub power: f64,
 }
 
 /// What one item of the platform's store says.
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -26,8 +26,6 @@
 pub struct Choices<'a> {
     /// Regions that may serve the request; empty for all.
     pub regions: &'a [Name],
-    /// Region of a failure domain.
-    pub region_of: &'a dyn Fn(&str) -> Option<Name>,
     /// Whether operators took a failure domain out.
     pub is_out: &'a dyn Fn(&str) -> bool,
     /// Takes one call from what a cold target bears now.
@@ -86,10 +84,7 @@
     if !target.is_open() || (choices.is_out)(domain) {
         return false;
     }
-    if choices.regions.is_empty() {
-        return true;
-    }
-    (choices.region_of)(domain).is_some_and(|r| choices.regions.contains(&r))
+    choices.regions.is_empty() || choices.regions.contains(&target.region)
 }
 
 /// Expected wait in microseconds, with what speaks against the target.
--- a/crates/routing/src/extra.rs
+++ b/crates/routing/src/extra.rs
@@ -42,13 +42,13 @@
         self.part(now, bound).requests += 1;
     }
 
-    /// Takes one extra call of this node's share, if there is one; `nodes`
-    /// share the slack.
-    pub fn take(&mut self, now: Time, bound: &ExtraBound, nodes: u32) -> bool {
+    /// Takes one extra call, if there is one; `part` of the slack is this
+    /// node's.
+    pub fn take(&mut self, now: Time, bound: &ExtraBound, part: f64) -> bool {
         self.part(now, bound);
         let requests: u32 = self.parts.iter().map(|p| p.requests).sum();
         let extra: u32 = self.parts.iter().map(|p| p.extra).sum();
-        let slack = f64::from(bound.slack) / f64::from(nodes.max(1));
+        let slack = f64::from(bound.slack) * part;
         let most = (f64::from(requests) * bound.share + slack) * USED;
         if f64::from(extra + 1) > most {
             return false;
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -9,7 +9,7 @@
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Name, TargetEntry};
 
-use crate::target::{Distance, Target};
+use crate::target::{Place, Target};
 
 /// Time after an outage of the store in which lapsed entries come back. The
 /// users' pages name about two seconds.
@@ -40,8 +40,8 @@
 }
 
 impl Fleet {
-    /// Takes a report; `distance` of its failure domain from this node.
-    pub fn put(&mut self, now: Time, entry: TargetEntry, distance: Distance) -> Change {
+    /// Takes a report; `place` of its failure domain.
+    pub fn put(&mut self, now: Time, entry: TargetEntry, place: Place) -> Change {
         self.lapsed.remove(&entry.id);
         if let Some(known) = self.targets.get(&entry.id) {
             let old = &known.entry;
@@ -67,7 +67,7 @@
         }
         let id = Arc::clone(&entry.id);
         self.targets
-            .insert(id, Arc::new(Target::new(now, entry, distance)));
+            .insert(id, Arc::new(Target::new(now, entry, place)));
         Change::New
     }
 
--- a/crates/routing/src/learned.rs
+++ b/crates/routing/src/learned.rs
@@ -90,11 +90,12 @@
         }
     }
 
-    /// Takes one extra call to `service`, if this node's share has one.
-    pub fn take_extra(&self, now: Time, service: &Name, bound: &ExtraBound, nodes: u32) -> bool {
+    /// Takes one extra call to `service`, if there is one; `part` of the
+    /// slack is this node's.
+    pub fn take_extra(&self, now: Time, service: &Name, bound: &ExtraBound, part: f64) -> bool {
         let mut extra = lock(&self.extra);
         let window = extra.entry(Arc::clone(service)).or_default();
-        window.take(now, bound, nodes)
+        window.take(now, bound, part)
     }
 
     /// Forgets routes and services that the configuration does not name.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod learned;
 pub mod merge;
 pub mod scatter;
+pub mod share;
 pub mod table;
 pub mod target;
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -7,7 +7,7 @@
 };
 
 use heatherrun_kernel::Time;
-use heatherrun_kernel::routes::TargetEntry;
+use heatherrun_kernel::routes::{Name, TargetEntry};
 use heatherrun_kernel::time::micros;
 
 /// Weight of one reply in the mean latency, as a divisor.
@@ -61,6 +61,15 @@
     Far,
 }
 
+/// Where a target stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Region; empty when its failure domain is not known.
+    pub region: Name,
+    /// How far it is.
+    pub distance: Distance,
+}
+
 impl Distance {
     /// Latency expected of a target nothing is known of.
     const fn first_guess(self) -> Duration {
@@ -77,6 +86,8 @@
 pub struct Target {
     /// What it registered.
     pub entry: TargetEntry,
+    /// Region it stands in.
+    pub region: Name,
     /// How far it is.
     pub distance: Distance,
     reports: AtomicU64,
@@ -107,9 +118,10 @@
 impl Target {
     /// Target of which nothing was seen.
     #[must_use]
-    pub fn new(now: Time, entry: TargetEntry, distance: Distance) -> Self {
+    pub fn new(now: Time, entry: TargetEntry, place: Place) -> Self {
         let made = Self {
-            distance,
+            region: place.region,
+            distance: place.distance,
             reports: AtomicU64::new(entry.report),
             draining: AtomicBool::new(entry.draining),
             gone: AtomicBool::new(false),
