SIGHUP and a changed file make a gateway read its settings anew

Change: daemon::reload; Reloader takes failure domains, seeds and the bound on extra calls; a faulty file changes nothing.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! `heatherrund`, the daemon that runs on each entry VM.
 
+mod reload;
 mod serve;
 mod stop;
 
@@ -18,11 +19,12 @@
 use heatherrun_report::plugins;
 use heatherrun_schema::v1::{GatewaySettings, NodeSettings};
 use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code when the settings hold a fault.
 const BAD_SETTINGS: u8 = 2;
 
-/// The query tier's daemon. SIGTERM stops it as planned; it exits with 0 when
+/// The query tier's daemon. SIGTERM stops it as planned, SIGHUP makes a gateway read its settings anew; it exits with 0 when
 /// nothing was cut, 1 when it cannot start, 2 when its settings hold a fault, 3 when `stop_secs` passed
 /// first, 4 on a second signal.
 #[derive(argh::FromArgs)]
@@ -56,7 +58,7 @@
     let text = fs::read_to_string(path)
         .with_context(|| format!("cannot read {file}; name a readable settings file"))?;
     match heatherrun_settings::read_node(&file, &text) {
-        Ok(checked) => run(checked.value),
+        Ok(checked) => run(path, checked.value),
         Err(e) => {
             eprintln!("{e}");
             Ok(BAD_SETTINGS)
@@ -64,7 +66,7 @@
     }
 }
 
-fn run(settings: NodeSettings) -> anyhow::Result<u8> {
+fn run(path: &Path, settings: NodeSettings) -> anyhow::Result<u8> {
     logging::start(&settings.name, &settings.log)?;
     // A gateway runs on a part of one core, where more threads only cost.
     let mut runtime = match settings.gateway {
@@ -74,14 +76,23 @@
     let runtime = runtime.enable_all().build().context("no runtime")?;
     runtime.block_on(async {
         match settings.gateway.clone() {
-            Some(gateway) => run_gateway(settings, gateway).await,
+            Some(gateway) => run_gateway(path, settings, gateway).await,
             None => run_tier(settings).await,
         }
     })
 }
 
-async fn run_gateway(settings: NodeSettings, own: GatewaySettings) -> anyhow::Result<u8> {
+async fn run_gateway(
+    path: &Path,
+    settings: NodeSettings,
+    own: GatewaySettings,
+) -> anyhow::Result<u8> {
+    let hangups = signal(SignalKind::hangup())?;
     let gateway = Gateway::start(&settings, &own).await?;
+    let reloader = gateway.reloader();
+    tokio::spawn(reload::run(path.to_owned(), hangups, move |own| {
+        reloader.reload(own)
+    }));
     log::info!(
         domain = settings.domain.as_str(), callers = settings.callers.as_str(),
         peers = settings.peers.as_str(), platform = settings.platform.as_str();
--- a/crates/gateway/src/doors.rs
+++ b/crates/gateway/src/doors.rs
@@ -54,7 +54,7 @@
 
 fn addresses(state: &State, query: &str) -> Reply {
     let ask = (state.site.ask)(query);
-    let me = &state.info.me;
+    let me = &state.me;
     let nodes = state.nodes.load();
     let others = nodes.iter().filter(|n: &&NodeEntry| n.name != me.name);
     let own = state.is_ready().then_some(me);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinHandle;
 
 use crate::member::Member;
-use crate::state::{Info, State};
+use crate::state::{State, Terms};
 use crate::sync::Sync;
 use crate::{doors, relay, serve};
 
@@ -46,10 +46,25 @@
     doors: Vec<TcpListener>,
 }
 
-/// What the settings of a node come to.
-struct Plan {
-    info: Info,
-    seeds: Vec<SocketAddr>,
+/// Takes changed settings into a node that runs.
+pub struct Reloader {
+    state: Arc<State>,
+}
+
+impl Reloader {
+    /// Takes what may change while the node runs: the failure domains, the
+    /// seeds and the bound on extra calls. Other changes need a restart.
+    ///
+    /// # Errors
+    /// When an address is malformed; nothing changes then.
+    pub fn reload(&self, own: &GatewaySettings) -> anyhow::Result<()> {
+        let terms = terms(own)?;
+        let domains = terms.regions.len();
+        let seeds = terms.seeds.len();
+        self.state.terms.store(Arc::new(terms));
+        log::info!(domains, seeds; "gateway.reloaded");
+        Ok(())
+    }
 }
 
 impl Gateway {
@@ -61,7 +76,8 @@
         let site = site::find(&own.site)?;
         let store = parse(&node.platform, "platform")?;
         let platform = registry::platform(&own.site)?(store);
-        let plan = plan(node, own)?;
+        let me = me(node, own)?;
+        let terms = terms(own)?;
         let mut doors = Vec::new();
         for (key, address) in [
             ("ready", &own.ready),
@@ -73,20 +89,15 @@
             }
         }
         let listeners = Listeners {
-            callers: bind(plan.info.me.callers).await?,
-            peers: bind(plan.info.me.peers).await?,
+            callers: bind(me.callers).await?,
+            peers: bind(me.peers).await?,
             doors,
         };
-        let state = State::new(plan.info, Clock::start(), site);
-        Ok(Self::serve(state, listeners, &platform, plan.seeds))
+        let state = State::new(me, terms, Clock::start(), site);
+        Ok(Self::serve(state, listeners, &platform))
     }
 
-    fn serve(
-        state: Arc<State>,
-        listeners: Listeners,
-        platform: &Platform,
-        seeds: Vec<SocketAddr>,
-    ) -> Self {
+    fn serve(state: Arc<State>, listeners: Listeners, platform: &Platform) -> Self {
         let (phase, phases) = watch::channel(Phase::Serve);
         let limits = Limits {
             head_time: IDLE_TIME,
@@ -116,7 +127,7 @@
             ));
         }
         tokio::spawn(relay::serve(listeners.peers, Arc::clone(&state)));
-        let sync = Sync::new(Arc::clone(&state), platform.clone(), seeds);
+        let sync = Sync::new(Arc::clone(&state), platform.clone());
         tokio::spawn(sync.run());
         tokio::spawn(Member::new(Arc::clone(&state), platform.clone()).run());
         Self {
@@ -126,6 +137,14 @@
         }
     }
 
+    /// What takes changed settings into this node.
+    #[must_use]
+    pub fn reloader(&self) -> Reloader {
+        Reloader {
+            state: Arc::clone(&self.state),
+        }
+    }
+
     /// Stops as planned: the node is not named any more, serves callers that
     /// kept its address, closes its port and finishes what is open. False
     /// when `limit` passed first, so that a request may be cut.
@@ -140,15 +159,18 @@
     }
 }
 
-fn plan(node: &NodeSettings, own: &GatewaySettings) -> anyhow::Result<Plan> {
-    let me = NodeEntry {
+fn me(node: &NodeSettings, own: &GatewaySettings) -> anyhow::Result<NodeEntry> {
+    Ok(NodeEntry {
         name: Name::from(node.name.as_str()),
         callers: parse(&node.callers, "callers")?,
         peers: parse(&node.peers, "peers")?,
         domain: Name::from(node.domain.as_str()),
         region: Name::from(own.region.as_str()),
         power: own.cpu_share * own.cpu_speed,
-    };
+    })
+}
+
+fn terms(own: &GatewaySettings) -> anyhow::Result<Terms> {
     let mut regions: HashMap<Name, Name> = HashMap::new();
     for domain in &own.domains {
         let name = Name::from(domain.name.as_str());
@@ -163,8 +185,11 @@
         slack: own.extra_slack,
         window: Duration::from_secs(u64::from(own.extra_secs)),
     };
-    let info = Info { me, regions, extra };
-    Ok(Plan { info, seeds })
+    Ok(Terms {
+        regions,
+        extra,
+        seeds,
+    })
 }
 
 fn parse(address: &str, key: &str) -> anyhow::Result<SocketAddr> {
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -93,7 +93,7 @@
 
     /// Whether the store shows this node, as far as is known.
     fn is_shown(&self) -> bool {
-        let me = &self.state.info.me.name;
+        let me = &self.state.me.name;
         let shown = self.state.nodes.load().iter().any(|n| n.name == *me);
         shown || self.state.age() > SHOW_TIME
     }
@@ -104,7 +104,7 @@
         let StoreReply::Lease(lease) = (self.platform.call)(grant).await? else {
             return Err(StoreError::NoAnswer);
         };
-        let me = &self.state.info.me;
+        let me = &self.state.me;
         let key = format!("{}{}", self.state.site.nodes, me.name);
         let value = serde_json::to_vec(me).map_err(|_| StoreError::TooLarge)?;
         let mut expect = Revision(0);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -145,7 +145,7 @@
         let now = state.clock.now();
         state
             .learned
-            .request(now, self.shards.iter(), &state.info.extra);
+            .request(now, self.shards.iter(), &state.terms.load().extra);
         let mut scatter = Scatter::new(self.plan.clone(), self.shards.len());
         let mut calls = FuturesUnordered::new();
         let mut replies: Vec<Option<Response<Bytes>>> = Vec::with_capacity(self.shards.len());
@@ -217,7 +217,7 @@
                 let service = &self.shards[slot];
                 state
                     .learned
-                    .take_extra(now, service, &state.info.extra, state.shares.load().whole)
+                    .take_extra(now, service, &state.terms.load().extra, state.shares.load().whole)
             },
             delay: &|target| self.out.latency.delay(target, self.route.objective),
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -28,15 +29,15 @@
 /// bound, so that the shares of the others do not grow while it may send.
 const SHARE_TIME: Duration = Duration::from_secs(20);
 
-/// What does not change while the node runs.
+/// What the settings say of the deployment; a reload replaces it.
 #[derive(Clone, Debug)]
-pub struct Info {
-    /// This node.
-    pub me: NodeEntry,
+pub struct Terms {
     /// Region of each failure domain.
     pub regions: HashMap<Name, Name>,
     /// Bound on extra calls.
     pub extra: ExtraBound,
+    /// Nodes that may be asked before others are known.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// Part of the state that only the control side changes.
@@ -53,8 +54,10 @@
 
 /// All that a node knows.
 pub struct State {
-    /// What does not change.
-    pub info: Info,
+    /// This node.
+    pub me: NodeEntry,
+    /// What the settings say of the deployment.
+    pub terms: ArcSwap<Terms>,
     /// Clock.
     pub clock: Clock,
     /// The deployment's wire.
@@ -82,9 +85,10 @@
 impl State {
     /// State of a node that knows nothing yet.
     #[must_use]
-    pub fn new(info: Info, clock: Clock, site: &'static Site) -> Arc<Self> {
+    pub fn new(me: NodeEntry, terms: Terms, clock: Clock, site: &'static Site) -> Arc<Self> {
         Arc::new(Self {
-            info,
+            me,
+            terms: ArcSwap::from_pointee(terms),
             clock,
             site,
             table: ArcSwapOption::empty(),
@@ -241,10 +245,10 @@
         }
         inner.seen.retain(|_, (_, at)| now.since(*at) < SHARE_TIME);
         let seen: Vec<_> = inner.seen.values().map(|(n, _)| n.clone()).collect();
-        let mut regions: Vec<Name> = self.info.regions.values().cloned().collect();
+        let mut regions: Vec<Name> = self.terms.load().regions.values().cloned().collect();
         regions.sort_unstable();
         regions.dedup();
-        let shares = Shares::of(&self.info.me, &seen, &regions);
+        let shares = Shares::of(&self.me, &seen, &regions);
         if shares != **self.shares.load() {
             self.shares.store(Arc::new(shares));
         }
@@ -256,8 +260,8 @@
 
     /// Where a failure domain is.
     fn place(&self, domain: &str) -> Place {
-        let me = &self.info.me;
-        let region = self.info.regions.get(domain).cloned().unwrap_or_default();
+        let me = &self.me;
+        let region = self.terms.load().regions.get(domain).cloned().unwrap_or_default();
         let distance = if *domain == *me.domain {
             Distance::Domain
         } else if region == me.region {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -58,7 +58,6 @@
     state: Arc<State>,
     platform: Platform,
     peers: Peers,
-    seeds: Vec<SocketAddr>,
     /// Whether the store answered this node last time.
     reached: bool,
     /// When the store may be tried again, and the pause after a failure.
@@ -69,15 +68,13 @@
 }
 
 impl Sync {
-    /// Sync of a node that knows nothing yet; `seeds` are nodes that it may
-    /// ask before it knows others.
+    /// Sync of a node that knows nothing yet.
     #[must_use]
-    pub fn new(state: Arc<State>, platform: Platform, seeds: Vec<SocketAddr>) -> Self {
+    pub fn new(state: Arc<State>, platform: Platform) -> Self {
         Self {
             state,
             platform,
             peers: Peers::default(),
-            seeds,
             reached: true,
             read_at: Time::default(),
             pause: AGAIN,
@@ -124,7 +121,7 @@
     /// Nodes of this failure domain that read the store before this node
     /// does, and whether this node reads it when they do not.
     fn readers(&self) -> (Vec<SocketAddr>, bool) {
-        let me = &self.state.info.me;
+        let me = &self.state.me;
         let nodes = self.state.nodes.load();
         let mates = nodes.iter().filter(|n| n.domain == me.domain);
         let mut mates: Vec<_> = mates.map(|n| (xxh3_64(n.name.as_bytes()), n)).collect();
@@ -137,12 +134,13 @@
 
     /// Other nodes to ask: those near first, then the seeds.
     fn others(&self) -> Vec<SocketAddr> {
-        let me = &self.state.info.me;
+        let me = &self.state.me;
         let nodes = self.state.nodes.load();
         let mut others: Vec<&NodeEntry> = nodes.iter().filter(|n| n.name != me.name).collect();
         others.sort_by_key(|n| (n.region != me.region, xxh3_64(n.name.as_bytes())));
         let mut addresses: Vec<_> = others.iter().take(MOST_ASKED).map(|n| n.peers).collect();
-        addresses.extend(self.seeds.iter().filter(|s| **s != me.peers));
+        let terms = self.state.terms.load();
+        addresses.extend(terms.seeds.iter().filter(|s| **s != me.peers));
         addresses
     }
 
