Callers keep an answer of the directory as long as the platform lets them

Cause: each question to a node that is gone costs a caller a second, more than an 800 ms deadline. Change: keep_secs in the settings, rendered from the platform's bound (5 s), in place of 1 s.

--- a/crates/gateway/src/doors.rs
+++ b/crates/gateway/src/doors.rs
@@ -1,8 +1,6 @@
 //! What is asked of a node beside requests: whether it is ready, which nodes
 //! to use, and its metrics.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use heatherrun_kernel::routes::NodeEntry;
 use heatherrun_ports::http_reply::{Fault, Reply, plain, respond};
@@ -13,10 +11,6 @@
 
 use crate::state::State;
 
-/// Time that callers keep an answer of the directory. Some keep it three
-/// times as long, and a node that stops serves them so long.
-const KEEP_TIME: Duration = Duration::from_secs(1);
-
 /// Path of the metrics.
 const METRICS: &str = "/metrics";
 
@@ -62,7 +56,7 @@
     if found.is_empty() {
         return plain(StatusCode::SERVICE_UNAVAILABLE, "no node is ready");
     }
-    let body = (state.site.addresses)(&found, KEEP_TIME);
+    let body = (state.site.addresses)(&found, state.terms.load().keep);
     let mut reply: Reply = Response::new(Bytes::from(body).into());
     let json = HeaderValue::from_static("application/json");
     reply.headers_mut().insert(CONTENT_TYPE, json);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -188,6 +188,7 @@
     Ok(Terms {
         regions,
         extra,
+        keep: Duration::from_secs(u64::from(own.keep_secs)),
         seeds,
     })
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,6 +36,10 @@
     pub regions: HashMap<Name, Name>,
     /// Bound on extra calls.
     pub extra: ExtraBound,
+    /// Time that callers may keep an answer of the directory. A long one spares
+    /// them questions to nodes that are gone; the nodes of an answer that went
+    /// away are told by their closed ports.
+    pub keep: Duration,
     /// Nodes that may be asked before others are known.
     pub seeds: Vec<SocketAddr>,
 }
