--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -215,9 +215,12 @@
             choose: &|slot, tried| self.choose(now, &services, slot, tried, &choices),
             take_extra: &|slot| {
                 let service = &self.shards[slot];
-                state
-                    .learned
-                    .take_extra(now, service, &state.terms.load().extra, state.shares.load().whole)
+                state.learned.take_extra(
+                    now,
+                    service,
+                    &state.terms.load().extra,
+                    state.shares.load().whole,
+                )
             },
             delay: &|target| self.out.latency.delay(target, self.route.objective),
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,8 +19,8 @@
 use heatherrun_routing::feed::{Delta, Feed, Item};
 use heatherrun_routing::fleet::{Change, Fleet, Services};
 use heatherrun_routing::learned::Learned;
-use heatherrun_routing::table::Table;
 use heatherrun_routing::share::Shares;
+use heatherrun_routing::table::Table;
 use heatherrun_routing::target::{Distance, Place};
 
 use crate::metrics::Metrics;
@@ -265,7 +265,13 @@
     /// Where a failure domain is.
     fn place(&self, domain: &str) -> Place {
         let me = &self.me;
-        let region = self.terms.load().regions.get(domain).cloned().unwrap_or_default();
+        let region = self
+            .terms
+            .load()
+            .regions
+            .get(domain)
+            .cloned()
+            .unwrap_or_default();
         let distance = if *domain == *me.domain {
             Distance::Domain
         } else if region == me.region {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -152,7 +152,8 @@
             return false;
         }
         let Some(pulled) = self.peers.changes(address, self.state.at()).await else {
-            self.mute.insert(address, self.state.clock.now() + MUTE_TIME);
+            self.mute
+                .insert(address, self.state.clock.now() + MUTE_TIME);
             return false;
         };
         self.mute.remove(&address);
--- a/crates/ports/src/http_exchange.rs
+++ b/crates/ports/src/http_exchange.rs
@@ -72,7 +72,7 @@
     whose: impl Fn(&Response<Bytes>) -> Whose,
 ) -> Sent {
     let mut out = Bytes::from(encode(request));
-    let whole = out.len();
+    let length = out.len();
     let mut input = BytesMut::new();
     let mut closed = false;
     let mut skipped = 0;
@@ -93,13 +93,13 @@
                 }
                 continue;
             }
-            Ok(None) if closed && out.len() == whole => return Sent::Unsent,
+            Ok(None) if closed && out.len() == length => return Sent::Unsent,
             Ok(None) if closed => return Sent::Failed(cut(&input, request.method())),
             Ok(None) => {}
         }
         match exchange_bytes(stream, &mut out, &mut input).await {
             Ok(ended) => closed = ended,
-            Err(_) if out.len() == whole => return Sent::Unsent,
+            Err(_) if out.len() == length => return Sent::Unsent,
             // A reset hides whether the body was whole.
             Err(_) => return Sent::Failed(cut(&input, request.method())),
         }
--- /dev/null
+++ b/crates/routing/tests/common/mod.rs
@@ -0,0 +1,86 @@
+//! Targets and plans for the tests of decisions.
+
+#![allow(dead_code, reason = "each test file uses some of these")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherrun_kernel::Time;
+use heatherrun_kernel::routes::{Name, NodeEntry, Repeat, TargetEntry};
+use heatherrun_routing::scatter::Plan;
+use heatherrun_routing::target::{Distance, Place, Target};
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
+
+/// The same cases each time.
+pub fn fixed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    }
+}
+
+/// `millis` after the start of the clock.
+pub const fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+pub const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn entry(id: &str) -> TargetEntry {
+    TargetEntry {
+        id: Name::from(id),
+        service: Name::from("lots"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        domain: Name::from("near-a"),
+        slots: 3,
+        draining: false,
+        warmup: Duration::ZERO,
+        born: 1,
+        report: 1,
+    }
+}
+
+pub fn place(distance: Distance) -> Place {
+    let region = if distance == Distance::Far {
+        "far"
+    } else {
+        "near"
+    };
+    Place {
+        region: Name::from(region),
+        distance,
+    }
+}
+
+pub fn target(id: &str, distance: Distance) -> Arc<Target> {
+    Arc::new(Target::new(at(0), entry(id), place(distance)))
+}
+
+pub fn node(name: &str, domain: &str, region: &str, power: f64) -> NodeEntry {
+    let last = name
+        .bytes()
+        .fold(0, |n: u16, b| n.wrapping_mul(31).wrapping_add(b.into()))
+        % 9_973;
+    NodeEntry {
+        name: Name::from(name),
+        callers: format!("127.0.0.1:{}", 1_000 + last).parse().unwrap(),
+        peers: format!("127.0.0.1:{}", 2_000 + last).parse().unwrap(),
+        domain: Name::from(domain),
+        region: Name::from(region),
+        power,
+    }
+}
+
+/// Plan of a search with an objective of 80 ms and a deadline of 800 ms.
+pub fn plan(least: f64) -> Plan {
+    Plan {
+        repeat: Repeat::Idempotent,
+        attempts: 2,
+        answer_by: at(67),
+        room_by: at(16),
+        end: at(794),
+        least,
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/known.rs
@@ -0,0 +1,182 @@
+//! What a node knows: items of the store, targets, and whom to name.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{at, entry, node, place};
+use heatherrun_kernel::site::DirectoryAsk;
+use heatherrun_routing::directory::addresses;
+use heatherrun_routing::feed::{Delta, Feed, Item};
+use heatherrun_routing::fleet::{Change, Fleet, LAPSE_GRACE};
+use heatherrun_routing::target::Distance;
+use proptest::prelude::*;
+
+fn item(key: &str, revision: u64, value: Option<&str>) -> Item {
+    Item {
+        key: Arc::from(key),
+        revision,
+        value: value.map(|v| Arc::from(v.as_bytes())),
+    }
+}
+
+fn delta(whole: bool, at: u64, items: Vec<Item>) -> Delta {
+    Delta { items, whole, at }
+}
+
+#[test]
+fn apply_older_revision_changes_nothing() {
+    let mut feed = Feed::default();
+    feed.apply(delta(true, 5, vec![item("a", 5, Some("new"))]));
+    assert!(
+        feed.apply(delta(false, 6, vec![item("a", 4, Some("old"))]))
+            .is_empty()
+    );
+    assert!(
+        feed.apply(delta(false, 6, vec![item("a", 3, None)]))
+            .is_empty()
+    );
+}
+
+#[test]
+fn apply_whole_read_deletes_what_it_does_not_name() {
+    let mut feed = Feed::default();
+    feed.apply(delta(
+        true,
+        5,
+        vec![item("a", 1, Some("x")), item("b", 2, Some("y"))],
+    ));
+    let new = feed.apply(delta(true, 9, vec![item("b", 2, Some("y"))]));
+    assert_eq!(new, [item("a", 9, None)]);
+}
+
+#[test]
+fn apply_old_whole_read_is_passed_over() {
+    let mut feed = Feed::default();
+    feed.apply(delta(true, 9, vec![item("a", 8, Some("x"))]));
+    assert!(feed.apply(delta(true, 5, Vec::new())).is_empty());
+    assert_eq!(feed.since(0).items.len(), 1);
+}
+
+/// Writes of a store: key, and whether it is deleted.
+fn writes() -> impl Strategy<Value = Vec<(u8, bool)>> {
+    prop::collection::vec((0..5_u8, any::<bool>()), 0..40)
+}
+
+proptest! {
+    #![proptest_config(common::fixed())]
+
+    /// A node that asks another one now and then ends with the same items.
+    #[test]
+    fn since_follower_ends_with_what_its_source_has(writes in writes(), pulls in prop::collection::vec(any::<bool>(), 40)) {
+        let (mut source, mut follower) = (Feed::default(), Feed::default());
+        for (ix, (key, deleted)) in writes.iter().enumerate() {
+            let revision = ix as u64 + 1;
+            let value = (!deleted).then_some("v");
+            source.apply(delta(false, revision, vec![item(&format!("k{key}"), revision, value)]));
+            if pulls[ix] {
+                follower.apply(source.since(follower.at()));
+            }
+        }
+        follower.apply(source.since(follower.at()));
+        prop_assert_eq!(follower.since(0), source.since(0));
+    }
+}
+
+#[test]
+fn put_newer_incarnation_goes_before_a_newer_report() {
+    let mut fleet = Fleet::default();
+    let near = || place(Distance::Domain);
+    let mut first = entry("a");
+    (first.born, first.report) = (100, 50);
+    assert_eq!(fleet.put(at(0), first.clone(), near()), Change::New);
+    let mut stale = first.clone();
+    stale.report = 49;
+    assert_eq!(fleet.put(at(0), stale, near()), Change::Stale);
+    let mut again = first.clone();
+    (again.born, again.report) = (200, 1);
+    assert_eq!(fleet.put(at(0), again, near()), Change::New);
+    assert_eq!(fleet.put(at(0), first, near()), Change::Stale);
+    let all = fleet.services();
+    assert_eq!(all["lots"][0].entry.born, 200);
+}
+
+#[test]
+fn put_draining_report_closes_the_target_at_once() {
+    let mut fleet = Fleet::default();
+    fleet.put(at(0), entry("a"), place(Distance::Domain));
+    let known = Arc::clone(&fleet.services()["lots"][0]);
+    let mut leaving = entry("a");
+    (leaving.draining, leaving.report) = (true, 2);
+    assert_eq!(
+        fleet.put(at(1), leaving, place(Distance::Domain)),
+        Change::Draining
+    );
+    assert!(!known.is_open());
+}
+
+#[test]
+fn remove_right_after_an_outage_waits_for_the_entry_to_return() {
+    let mut fleet = Fleet::default();
+    for id in ["back", "gone"] {
+        fleet.put(at(0), entry(id), place(Distance::Domain));
+    }
+    fleet.outage_ended(at(10_000));
+    assert!(!fleet.remove(at(10_100), "back") && !fleet.remove(at(10_100), "gone"));
+    assert!(fleet.services()["lots"].iter().all(|t| t.is_open()));
+    fleet.put(at(11_500), entry("back"), place(Distance::Domain));
+    assert!(!fleet.expire(at(11_500)));
+    assert!(fleet.expire(at(10_000) + LAPSE_GRACE));
+    assert_eq!(fleet.services()["lots"].len(), 1);
+    assert!(
+        fleet.remove(at(13_000), "back"),
+        "later, missing means gone"
+    );
+}
+
+#[test]
+fn remove_gone_target_is_closed_for_requests_that_hold_it() {
+    let mut fleet = Fleet::default();
+    fleet.put(at(0), entry("a"), place(Distance::Domain));
+    let held = Arc::clone(&fleet.services()["lots"][0]);
+    assert!(fleet.remove(at(1), "a"));
+    assert!(!held.is_open());
+    assert!(!fleet.remove(at(2), "a"));
+}
+
+#[test]
+fn addresses_near_and_strong_nodes_alone_when_enough() {
+    let nodes = [
+        node("a1", "a", "x", 0.5),
+        node("a2", "a", "x", 0.5),
+        node("a3", "a", "x", 0.12),
+        node("b1", "b", "x", 0.5),
+        node("c1", "c", "y", 0.5),
+    ];
+    let ask = |domain: &str, region: &str| {
+        let ask = DirectoryAsk {
+            region: region.to_owned(),
+            domain: domain.to_owned(),
+        };
+        let found = addresses(nodes.iter(), &ask);
+        let name = |address| nodes.iter().find(|n| n.callers == address).unwrap();
+        let names = found.into_iter().map(|a| name(a).name.to_string());
+        let mut names: Vec<_> = names.collect();
+        names.sort();
+        names.join(" ")
+    };
+    assert_eq!(ask("a", "x"), "a1 a2");
+    assert_eq!(ask("b", "x"), "a1 a2 b1");
+    assert_eq!(ask("c", "y"), "a1 a2 b1 c1");
+    assert_eq!(ask("", ""), "a1 a2 b1 c1");
+}
+
+#[test]
+fn addresses_weak_node_is_named_beside_a_lone_strong_one() {
+    let nodes = [node("a1", "a", "x", 0.5), node("a2", "a", "x", 0.12)];
+    let ask = DirectoryAsk {
+        region: "x".to_owned(),
+        domain: "a".to_owned(),
+    };
+    assert_eq!(addresses(nodes.iter(), &ask).len(), 2);
+}
--- /dev/null
+++ b/crates/routing/tests/table.rs
@@ -0,0 +1,93 @@
+//! Routes, splits and merging.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use heatherrun_kernel::routes::{CallerLimits, Config, Destination, Name, Part, Repeat, Route};
+use heatherrun_routing::merge::{RECORD_BYTES, greatest};
+use heatherrun_routing::table::Table;
+use proptest::prelude::*;
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: Name::from(format!("{host}{prefix}")),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Idempotent,
+        attempts: 2,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        priority: 1,
+        regions: Vec::new(),
+        to: Destination::Service(Name::from("lots")),
+    }
+}
+
+fn table(routes: Vec<Route>) -> Table {
+    let config = Config {
+        version: 1,
+        routes,
+        services: Vec::new(),
+        callers: CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            idle_time: Duration::ZERO,
+        },
+    };
+    Table::new(Arc::new(config), 7)
+}
+
+#[test]
+fn route_longest_prefix_of_the_host_wins() {
+    let table = table(vec![
+        route("a.example", "/x/"),
+        route("a.example", "/x/y/"),
+        route("b.example", "/"),
+    ]);
+    let found = |host: &str, path: &str| table.route(host, path).map(|r| r.prefix.clone());
+    assert_eq!(found("a.example", "/x/y/z").as_deref(), Some("/x/y/"));
+    assert_eq!(found("a.example", "/x/q").as_deref(), Some("/x/"));
+    assert_eq!(found("A.example:8080", "/x/q").as_deref(), Some("/x/"));
+    assert_eq!(found("a.example", "/x"), None);
+    assert_eq!(found("a.example", "/xy/"), None);
+    assert_eq!(found("c.example", "/x/"), None);
+    assert_eq!(found("b.example", "/any").as_deref(), Some("/"));
+}
+
+#[test]
+fn part_any_run_of_300_requests_keeps_the_weights() {
+    let table = table(Vec::new());
+    let parts: Vec<_> = [("a", 700), ("b", 200), ("c", 100)]
+        .iter()
+        .map(|(name, weight)| Part {
+            service: Name::from(*name),
+            weight: *weight,
+        })
+        .collect();
+    for _ in 0..20 {
+        let picks: Vec<_> = (0..300).filter_map(|_| table.part(&parts)).collect();
+        let count = |name: &str| picks.iter().filter(|p| &*p.service == name).count();
+        assert!((200..=220).contains(&count("a")), "{}", count("a"));
+        assert!((50..=70).contains(&count("b")), "{}", count("b"));
+    }
+    assert!(table.part(&[]).is_none());
+}
+
+proptest! {
+    #![proptest_config(common::fixed())]
+
+    #[test]
+    fn greatest_equals_a_sort_of_all_records(
+        parts in prop::collection::vec(prop::collection::vec(0..4_u8, 0..200), 0..6),
+        most in 0..12_usize,
+    ) {
+        let parts: Vec<Bytes> = parts.into_iter().map(Bytes::from).collect();
+        let mut all: Vec<&[u8]> = parts.iter().flat_map(|p| p.chunks_exact(RECORD_BYTES)).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.truncate(most);
+        prop_assert_eq!(greatest(parts.iter(), most), Bytes::from(all.concat()));
+    }
+}
