A shard that found no room or was refused is tried again while the others are at work

Change: shards of a search may wait for room up to 60% of the objective; targets that refused are tried again after 20 ms within the budget.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -31,6 +31,10 @@
 /// refusal must come within a quarter of it.
 const ROOM_DIVISOR: u32 = 5;
 
+/// The same for one shard of a search, in per cent of the objective: the other
+/// shards are at work meanwhile.
+const SHARD_ROOM_PERCENT: u32 = 60;
+
 /// Time that calls which are not needed any more may still take. A connection
 /// that is closed costs its target a new one; one that waits longer than a
 /// searcher's pause is not worth keeping.
@@ -113,11 +117,15 @@
             Some(_) => end.min(start + route.objective.saturating_sub(WAY_BACK)),
             None => end,
         };
+        let room_time = match records {
+            Some(_) => route.objective * SHARD_ROOM_PERCENT / 100,
+            None => route.objective / ROOM_DIVISOR,
+        };
         let plan = Plan {
             repeat: route.repeat,
             attempts: route.attempts,
             answer_by,
-            room_by: start + route.objective / ROOM_DIVISOR,
+            room_by: start + room_time,
             end,
             least,
         };
@@ -288,8 +296,9 @@
             Verdict::None { not_run, cause } => {
                 self.state.metrics.refused(cause.name());
                 if self.state.metrics.may_log() {
+                    let causes: Vec<_> = (0..self.shards.len()).map(|s| scatter.cause(s)).collect();
                     log::info!(
-                        id, route, version, calls, not_run, cause = cause.name(),
+                        id, route, version, calls, not_run, cause = cause.name(), causes:? = causes,
                         took_us = micros(took); "request.failed"
                     );
                 }
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -16,6 +16,10 @@
 /// tried again.
 const AGAIN: Duration = Duration::from_millis(4);
 
+/// Time after which targets that refused a call are tried again: a quarter of
+/// a full queue is done by then.
+const REFUSED_AGAIN: Duration = Duration::from_millis(20);
+
 /// Calls beyond the attempts that run which may be refused or not sent, for
 /// one shard.
 const MOST_UNRUN: u16 = 3;
@@ -164,6 +168,8 @@
 #[derive(Debug, Default)]
 struct Slot {
     tried: Vec<Name>,
+    /// Those of them that refused it without running it.
+    refused: Vec<Name>,
     open: Vec<Open>,
     /// Calls that ran or may have run, without a part.
     ran: u16,
@@ -232,9 +238,9 @@
             return sends;
         };
         let slot = &mut self.slots[ix];
-        let before = slot.open.len();
-        slot.open.retain(|o| o.call != call);
-        if slot.open.len() == before || slot.part.is_some() {
+        let ended = slot.open.iter().position(|o| o.call == call);
+        let ended = ended.map(|at| slot.open.remove(at));
+        if ended.is_none() || slot.part.is_some() {
             return sends;
         }
         let cause = match end {
@@ -254,6 +260,7 @@
             CallEnd::NotSent => slot.unrun += 1,
             CallEnd::NotRun => {
                 slot.unrun += 1;
+                slot.refused.extend(ended.map(|o| Arc::clone(&o.target.entry.id)));
                 slot.arrived = true;
             }
             _ => {
@@ -306,6 +313,13 @@
                 slot.cause.get_or_insert(Cause::NoRoom);
                 return;
             }
+            Chosen::NoTarget if !slot.refused.is_empty() && now + REFUSED_AGAIN < self.plan.room_by => {
+                // All that are left refused it: their queues are shorter soon.
+                let refused = std::mem::take(&mut slot.refused);
+                slot.tried.retain(|id| !refused.contains(id));
+                slot.again_at = Some(now + REFUSED_AGAIN);
+                return;
+            }
             Chosen::NoTarget => {
                 slot.cause.get_or_insert(Cause::NoTarget);
                 return;
