No hedge to a target that queues

Cause: in a burst with slow searchers hedges and callers' retries filled the queues that were left. Change: a hedge waits while its target reported two calls a slot within the last 100 ms.

--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -260,7 +260,8 @@
             CallEnd::NotSent => slot.unrun += 1,
             CallEnd::NotRun => {
                 slot.unrun += 1;
-                slot.refused.extend(ended.map(|o| Arc::clone(&o.target.entry.id)));
+                slot.refused
+                    .extend(ended.map(|o| Arc::clone(&o.target.entry.id)));
                 slot.arrived = true;
             }
             _ => {
@@ -313,7 +314,9 @@
                 slot.cause.get_or_insert(Cause::NoRoom);
                 return;
             }
-            Chosen::NoTarget if !slot.refused.is_empty() && now + REFUSED_AGAIN < self.plan.room_by => {
+            Chosen::NoTarget
+                if !slot.refused.is_empty() && now + REFUSED_AGAIN < self.plan.room_by =>
+            {
                 // All that are left refused it: their queues are shorter soon.
                 let refused = std::mem::take(&mut slot.refused);
                 slot.tried.retain(|id| !refused.contains(id));
@@ -391,7 +394,7 @@
         let again = Some(now + AGAIN);
         match (cx.choose)(ix, &slot.tried) {
             Chosen::NoTarget => {}
-            Chosen::Target(target) if !target.is_avoided(now) => {
+            Chosen::Target(target) if !target.is_queueing(now) && !target.is_avoided(now) => {
                 // The first call counts as arrived once it is overdue.
                 slot.arrived = true;
                 if (cx.take_extra)(ix) {
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -41,6 +41,12 @@
 /// done by then.
 const REFUSED_REST: Duration = Duration::from_millis(30);
 
+/// Time for which a report of running and waiting calls says something.
+const REPORT_TIME: Duration = Duration::from_millis(100);
+
+/// Running and waiting calls for each slot from which calls wait for long.
+const QUEUEING: u32 = 2;
+
 /// Weight of one call in the share of failed ones, as a divisor.
 const FAILING_SMOOTHING: u64 = 8;
 
@@ -205,6 +211,14 @@
         self.busy.load(Ordering::Relaxed)
     }
 
+    /// Whether calls wait there for about as long as one takes, as it last
+    /// reported.
+    #[must_use]
+    pub fn is_queueing(&self, now: Time) -> bool {
+        let age = now.since(Time(self.replied.load(Ordering::Relaxed)));
+        age < REPORT_TIME && self.busy() >= u32::from(self.entry.slots) * QUEUEING
+    }
+
     /// Notes a call on its way.
     pub fn sent(&self, now: Time) {
         self.tried_at.store(now.0, Ordering::Relaxed);
--- a/crates/routing/tests/scatter.rs
+++ b/crates/routing/tests/scatter.rs
@@ -111,6 +111,40 @@
     );
 }
 
+#[test]
+fn tick_hedge_waits_while_the_other_target_queues() {
+    // Pattern: a burst while many searchers work ten times as long; hedges
+    // would fill the queues of those that are left.
+    let world = World::new(1, 2);
+    let mut scatter = Scatter::new(plan(1.0), 1);
+    world.with(|cx| scatter.start(at(0), cx));
+    world.shards[0][1].replied(at(10), ms(40), Some(6));
+    assert!(world.with(|cx| scatter.tick(at(20), cx)).is_empty());
+    world.shards[0][1].replied(at(22), ms(40), Some(2));
+    let now = scatter.wake_at(at(20));
+    assert_eq!(ids(&world.with(|cx| scatter.tick(now, cx))), ["0-1"]);
+}
+
+#[test]
+fn ended_refused_by_all_targets_is_tried_again_when_their_queues_are_shorter() {
+    // Pattern: searchers shed for some tens of milliseconds.
+    let world = World::new(2, 1);
+    let mut scatter = Scatter::new(
+        Plan {
+            room_by: at(90),
+            ..plan(1.0)
+        },
+        2,
+    );
+    world.with(|cx| scatter.start(at(0), cx));
+    let none = world.with(|cx| scatter.ended(at(5), 0, CallEnd::NotRun, cx));
+    assert!(none.is_empty());
+    assert_eq!(scatter.verdict(at(5)), None);
+    let again = scatter.wake_at(at(5));
+    assert!(again <= at(25));
+    assert_eq!(ids(&world.with(|cx| scatter.tick(at(25), cx))), ["0-0"]);
+}
+
 #[test]
 fn tick_without_budget_sends_no_hedge() {
     let world = World::new(1, 3);
