--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -24,8 +24,9 @@
 /// takes some 3 ms each way, and for merging.
 const WAY_BACK: Duration = Duration::from_millis(13);
 
-/// Part of the time that a caller waits kept for the way back.
-const LAST_WAY: Duration = Duration::from_millis(6);
+/// Part of the time that a caller waits kept for the way there and back, some
+/// 3 ms each, and for a new connection.
+const LAST_WAY: Duration = Duration::from_millis(15);
 
 /// Part of the objective for which a call may wait for room, as a divisor: a
 /// refusal must come within a quarter of it.
