--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -4,9 +4,19 @@
 //! the level and the name of the VM; a value with spaces, quotes or an equals
 //! sign stands in quotes.
 
-use std::{fmt::Write as _, time::SystemTime};
+use std::{
+    fmt::Write as _,
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant, SystemTime},
+};
 
 use anyhow::Context as _;
+use crossbeam::channel::{self, Receiver, Sender};
 use log::LevelFilter;
 use logforth::kv::{KeyView, ValueView, Visitor};
 use logforth::record::Record;
@@ -93,6 +103,110 @@
     LogBridge::new(logger)
 }
 
+/// Lines that may wait to be written. A reader of standard output that stands
+/// still must not stop the node.
+const QUEUED_LINES: usize = 4_096;
+
+/// Time between two looks at whether lines were dropped.
+const DROPPED_PERIOD: Duration = Duration::from_secs(1);
+
+/// Lines dropped since that was last told.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Longest wait of a flush for a reader of standard output.
+const FLUSH_TIME: Duration = Duration::from_millis(500);
+
+/// Pause between two looks at what is written.
+const FLUSH_LOOK: Duration = Duration::from_millis(2);
+
+/// Hands lines to a thread that writes them; a line that finds no room is
+/// dropped and counted.
+#[derive(Debug)]
+pub struct Queued {
+    layout: KeyValueLayout,
+    lines: Sender<Vec<u8>>,
+    sent: AtomicU64,
+    written: Arc<AtomicU64>,
+}
+
+impl Queued {
+    /// Queue of at most `room` lines in front of `out`.
+    ///
+    /// # Errors
+    /// When no thread can be started.
+    pub fn start(
+        layout: KeyValueLayout,
+        out: impl Write + Send + 'static,
+        room: usize,
+    ) -> io::Result<Self> {
+        let (lines, queue) = channel::bounded(room);
+        let written = Arc::<AtomicU64>::default();
+        let count = Arc::clone(&written);
+        let writer = thread::Builder::new().name("log".to_owned());
+        writer.spawn(move || write_lines(&queue, out, &count))?;
+        Ok(Self {
+            layout,
+            lines,
+            sent: AtomicU64::new(0),
+            written,
+        })
+    }
+}
+
+/// Writes lines as they come, until the queue is closed. A line that cannot
+/// be written has nowhere to be told of; it counts as dropped.
+fn write_lines(queue: &Receiver<Vec<u8>>, mut out: impl Write, written: &AtomicU64) {
+    for line in queue {
+        let mut lines = vec![line];
+        lines.extend(queue.try_iter());
+        let wrote = out.write_all(&lines.concat()).and_then(|()| out.flush());
+        let count = lines.len() as u64;
+        if wrote.is_err() {
+            DROPPED.fetch_add(count, Ordering::Relaxed);
+        }
+        written.fetch_add(count, Ordering::Release);
+    }
+}
+
+impl Append for Queued {
+    fn append(&self, record: &Record<'_>, more: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let mut line = self.layout.format(record, more)?;
+        line.push(b'\n');
+        if self.lines.try_send(line).is_ok() {
+            self.sent.fetch_add(1, Ordering::Relaxed);
+        } else {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        let end = Instant::now() + FLUSH_TIME;
+        let sent = self.sent.load(Ordering::Relaxed);
+        while self.written.load(Ordering::Acquire) < sent && Instant::now() < end {
+            thread::sleep(FLUSH_LOOK);
+        }
+        Ok(())
+    }
+}
+
+/// Lines dropped since the last call.
+#[must_use]
+pub fn dropped() -> u64 {
+    DROPPED.swap(0, Ordering::Relaxed)
+}
+
+/// Tells of dropped lines, for ever.
+pub async fn tell_dropped() {
+    loop {
+        tokio::time::sleep(DROPPED_PERIOD).await;
+        let lines = dropped();
+        if lines > 0 {
+            log::warn!(lines; "log.dropped");
+        }
+    }
+}
+
 /// Passes on the events of this project alone: libraries log each message
 /// between nodes several times.
 struct OwnEvents(LogBridge);
@@ -123,8 +237,8 @@
 /// When there is no level of this name, or logs go elsewhere already.
 pub fn start(vm: &str, name: &str) -> anyhow::Result<()> {
     let layout = KeyValueLayout { vm: vm.to_owned() };
-    let stdout = logforth::append::Stdout::default().with_layout(layout);
-    let own = OwnEvents(bridge(stdout));
+    let queued = Queued::start(layout, io::stdout(), QUEUED_LINES);
+    let own = OwnEvents(bridge(queued.context("no thread for the log")?));
     log::set_boxed_logger(Box::new(own)).context("logs go elsewhere already")?;
     log::set_max_level(level(name)?);
     Ok(())
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -74,12 +74,15 @@
         None => Builder::new_multi_thread(),
     };
     let runtime = runtime.enable_all().build().context("no runtime")?;
-    runtime.block_on(async {
+    let ended = runtime.block_on(async {
+        tokio::spawn(logging::tell_dropped());
         match settings.gateway.clone() {
             Some(gateway) => run_gateway(path, settings, gateway).await,
             None => run_tier(settings).await,
         }
-    })
+    });
+    log::logger().flush();
+    ended
 }
 
 async fn run_gateway(
--- a/crates/daemon/tests/logging.rs
+++ b/crates/daemon/tests/logging.rs
@@ -3,7 +3,10 @@
 mod common;
 
 use common::{Lines, Written};
-use heatherrun_daemon::logging::{bridge, level};
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+
+use heatherrun_daemon::logging::{KeyValueLayout, Queued, bridge, dropped, level};
 use log::kv::ToValue;
 use log::{Level, Log as _, Record};
 
@@ -76,3 +79,37 @@
             .contains("use error")
     );
 }
+
+/// Standard output that nobody reads until it is let go.
+struct Stuck(Arc<Mutex<()>>);
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        drop(self.0.lock());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn queued_lines_nobody_reads_are_dropped_and_counted() {
+    // Pattern: four times the usual load, and standard output stands still.
+    let stuck = Arc::new(Mutex::new(()));
+    let held = stuck.lock().unwrap();
+    let layout = KeyValueLayout {
+        vm: "vm".to_owned(),
+    };
+    let queued = Queued::start(layout, Stuck(Arc::clone(&stuck)), 100).unwrap();
+    let log = bridge(queued);
+    for _ in 0..10_000 {
+        log.log(&Record::builder().level(Level::Info).build());
+    }
+    let lines = dropped();
+    drop(held);
+    log.flush();
+    // A hundred wait, and the writer may hold up to as many.
+    assert!((9_700..=9_900).contains(&lines), "{lines}");
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,7 +11,8 @@
 use heatherrun_ports::http_server::Received;
 use heatherrun_routing::choice::{self, Choice, Choices};
 use heatherrun_routing::fleet::Services;
-use heatherrun_routing::scatter::{Cause, Chosen, Context, Plan, Scatter, Send, SlotIx, Verdict};
+use heatherrun_routing::plan::Plan;
+use heatherrun_routing::scatter::{Cause, Chosen, Context, Scatter, Send, SlotIx, Verdict};
 use heatherrun_routing::table::Table;
 use heatherrun_routing::target::Target;
 use http::{Response, StatusCode, header};
@@ -20,22 +21,6 @@
 use crate::reply;
 use crate::state::State;
 
-/// Part of a latency objective kept for the way to the caller and back, which
-/// takes some 3 ms each way, and for merging.
-const WAY_BACK: Duration = Duration::from_millis(13);
-
-/// Part of the time that a caller waits kept for the way there and back, some
-/// 3 ms each, and for a new connection.
-const LAST_WAY: Duration = Duration::from_millis(15);
-
-/// Part of the objective for which a call may wait for room, as a divisor: a
-/// refusal must come within a quarter of it.
-const ROOM_DIVISOR: u32 = 5;
-
-/// The same for one shard of a search, in per cent of the objective: the other
-/// shards are at work meanwhile.
-const SHARD_ROOM_PERCENT: u32 = 60;
-
 /// Time that calls which are not needed any more may still take. A connection
 /// that is closed costs its target a new one; one that waits longer than a
 /// searcher's pause is not worth keeping.
@@ -98,41 +83,22 @@
         received: Received,
         start: Time,
     ) -> Self {
-        let (shards, records, least) = match &route.to {
-            Destination::Service(service) => (vec![Arc::clone(service)], None, 1.0),
+        let (shards, records) = match &route.to {
+            Destination::Service(service) => (vec![Arc::clone(service)], None),
             Destination::Split(parts) => {
                 let part = table.part(parts).map(|p| Arc::clone(&p.service));
-                (part.into_iter().collect(), None, 1.0)
+                (part.into_iter().collect(), None)
             }
             Destination::Shards {
-                services,
-                records,
-                least,
-            } => (services.clone(), Some(*records), *least),
+                services, records, ..
+            } => (services.clone(), Some(*records)),
         };
         let head = (state.site.caller)(&received.head.headers);
         let left = head.left.unwrap_or(route.timeout);
-        let wait = left.saturating_sub(LAST_WAY).min(route.timeout);
-        let end = start + wait;
-        let answer_by = match records {
-            Some(_) => end.min(start + route.objective.saturating_sub(WAY_BACK)),
-            None => end,
-        };
-        let room_time = match records {
-            Some(_) => route.objective * SHARD_ROOM_PERCENT / 100,
-            None => route.objective / ROOM_DIVISOR,
-        };
-        let plan = Plan {
-            repeat: route.repeat,
-            attempts: route.attempts,
-            answer_by,
-            room_by: start + room_time,
-            end,
-            least,
-        };
+        let plan = Plan::of(&route, start, left);
         let out = Outgoing {
             id: head.id.unwrap_or_default().to_owned(),
-            end,
+            end: plan.end,
             is_part: records.is_some(),
             latency: state.learned.route(&route.name),
             ..outgoing(&state, received)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod learned;
 pub mod merge;
+pub mod plan;
 pub mod scatter;
 pub mod share;
 pub mod table;
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -10,6 +10,7 @@
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Name, Repeat};
 
+use crate::plan::Plan;
 use crate::target::Target;
 
 /// Time after which a call that found no room, or no target for a hedge, is
@@ -33,23 +34,6 @@
 /// Number of a shard within its request.
 pub type SlotIx = usize;
 
-/// How a request may be served.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    /// What may be repeated.
-    pub repeat: Repeat,
-    /// Targets of one shard that may run it.
-    pub attempts: u16,
-    /// Point from which an answer with enough shards is given.
-    pub answer_by: Time,
-    /// Point up to which a call may wait for room at a target.
-    pub room_by: Time,
-    /// Point at which it ends in any case.
-    pub end: Time,
-    /// Least share of the shards that makes an answer.
-    pub least: f64,
-}
-
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -7,7 +7,7 @@
 
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Name, NodeEntry, Repeat, TargetEntry};
-use heatherrun_routing::scatter::Plan;
+use heatherrun_routing::plan::Plan;
 use heatherrun_routing::target::{Distance, Place, Target};
 use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 
--- a/crates/routing/tests/scatter.rs
+++ b/crates/routing/tests/scatter.rs
@@ -9,8 +9,9 @@
 use common::{at, ms, plan, target};
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Name, Repeat};
+use heatherrun_routing::plan::Plan;
 use heatherrun_routing::scatter::{
-    CallEnd, Cause, Chosen, Context, Plan, Reason, Scatter, Send, Verdict,
+    CallEnd, Cause, Chosen, Context, Reason, Scatter, Send, Verdict,
 };
 use heatherrun_routing::target::{Distance, Target};
 use proptest::prelude::*;
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{CallerLimits, Config, Destination, Name, Part, Repeat, Route};
 use heatherrun_routing::merge::{RECORD_BYTES, greatest};
+use heatherrun_routing::plan::Plan;
 use heatherrun_routing::table::Table;
 use proptest::prelude::*;
 
@@ -91,3 +93,28 @@
         prop_assert_eq!(greatest(parts.iter(), most), Bytes::from(all.concat()));
     }
 }
+
+#[test]
+fn plan_answers_before_the_objective_and_ends_before_the_caller_gives_up() {
+    // Pattern: a searcher falls silent; the caller hears so in time.
+    let start = Time::from_millis(1_000);
+    let left = Duration::from_millis(400);
+    let mut search = route("a.example", "/x/");
+    search.to = Destination::Shards {
+        services: vec![Name::from("s0")],
+        records: 5,
+        least: 0.75,
+    };
+    let plan = Plan::of(&search, start, left);
+    assert_eq!(plan.end, start + Duration::from_millis(385));
+    assert_eq!(plan.answer_by, start + Duration::from_millis(87));
+    assert_eq!(plan.room_by, start + Duration::from_millis(60));
+    let single = Plan::of(&route("a.example", "/x/"), start, left);
+    assert_eq!(single.answer_by, single.end);
+    assert!(
+        single.room_by <= start + Duration::from_millis(25),
+        "a quarter of the objective"
+    );
+    let long = Plan::of(&search, start, Duration::from_secs(9));
+    assert_eq!(long.end, start + search.timeout);
+}
