--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -1,15 +1,14 @@
 //! Opens the listeners of a node and serves on them.
 
-use std::{net::SocketAddr, sync::Arc, time::SystemTime};
+use std::{sync::Arc, time::SystemTime};
 
-use anyhow::Context as _;
 use heatherrun_kernel::message::NodeInfo;
 use heatherrun_kernel::registry;
 use heatherrun_kernel::{Clock, DomainId, NodeId};
+use heatherrun_ports::listen::{bind, parse};
 use heatherrun_ports::serving::{Listeners, Serving};
 use heatherrun_schema::v1::NodeSettings;
 use heatherrun_tier::node::Node;
-use tokio::net::TcpListener;
 
 /// Plug-in that sends calls to targets.
 const TARGETS: &str = "http";
@@ -56,15 +55,3 @@
         started,
     })
 }
-
-fn parse(address: &str, key: &str) -> anyhow::Result<SocketAddr> {
-    address
-        .parse()
-        .with_context(|| format!("{key} is {address:?}; name an IP and a port"))
-}
-
-async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address).await.with_context(|| {
-        format!("cannot listen on {address}; free the port or change the settings")
-    })
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,11 +2,11 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use anyhow::Context as _;
 use heatherrun_kernel::port::Platform;
 use heatherrun_kernel::routes::{Name, NodeEntry};
 use heatherrun_kernel::{Clock, registry, site};
 use heatherrun_ports::http_server::{self, Limits, Phase};
+use heatherrun_ports::listen::{bind, parse};
 use heatherrun_routing::extra::ExtraBound;
 use heatherrun_schema::v1::{GatewaySettings, NodeSettings};
 use tokio::net::TcpListener;
@@ -198,15 +198,3 @@
         seeds,
     })
 }
-
-fn parse(address: &str, key: &str) -> anyhow::Result<SocketAddr> {
-    address
-        .parse()
-        .with_context(|| format!("{key} is {address:?}; name an IP and a port"))
-}
-
-async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address).await.with_context(|| {
-        format!("cannot listen on {address}; free the port or change the settings")
-    })
-}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,7 +12,7 @@
 use heatherrun_routing::choice::{self, Choice, Choices};
 use heatherrun_routing::fleet::Services;
 use heatherrun_routing::plan::Plan;
-use heatherrun_routing::scatter::{Cause, Chosen, Context, Scatter, Send, SlotIx, Verdict};
+use heatherrun_routing::scatter::{CallIx, Cause, Chosen, Context, Scatter, Send, SlotIx, Verdict};
 use heatherrun_routing::table::Table;
 use heatherrun_routing::target::Target;
 use http::{Response, StatusCode, header};
@@ -227,60 +227,79 @@
         target.take_cold(now, cold.per_sec * self.state.shares.load().whole)
     }
 
+    /// Answers with what came back.
     fn conclude(
         &self,
         scatter: &Scatter,
         verdict: Verdict,
+        replies: Vec<Option<Response<Bytes>>>,
+    ) -> Reply {
+        match verdict {
+            Verdict::Answer(chosen) => self.succeed(scatter, &chosen, replies),
+            Verdict::None { not_run, cause } => self.fail(scatter, not_run, cause, replies),
+        }
+    }
+
+    /// The answer made of the chosen calls' replies.
+    fn succeed(
+        &self,
+        scatter: &Scatter,
+        chosen: &[Option<CallIx>],
         mut replies: Vec<Option<Response<Bytes>>>,
     ) -> Reply {
         let took = self.state.clock.now().since(self.start);
-        let version = self.table.config().version;
+        let parts = chosen.iter().flatten();
+        let mut parts: Vec<_> = parts.filter_map(|ix| replies[*ix].take()).collect();
+        let missing = chosen.len() - parts.len();
+        self.state.metrics.answered(took, missing);
         let (id, route) = (self.out.id.as_str(), &*self.route.name);
-        let calls = scatter.calls();
-        match verdict {
-            Verdict::Answer(chosen) => {
-                let total = chosen.len();
-                let parts = chosen.into_iter().flatten();
-                let mut parts: Vec<_> = parts.filter_map(|ix| replies[ix].take()).collect();
-                let missing = total - parts.len();
-                self.state.metrics.answered(took, missing);
-                log::debug!(id, route, version, calls, missing; "request.answered");
-                if missing > 0 && self.state.metrics.may_log() {
-                    let causes: Vec<_> = (0..total).filter_map(|s| scatter.cause(s)).collect();
-                    log::info!(
-                        id, route, version, calls, missing, causes:? = causes,
-                        took_us = micros(took); "request.partial"
-                    );
-                }
-                match self.records {
-                    Some(records) => reply::merged(&self.state, &parts, missing, records),
-                    None => match parts.pop() {
-                        Some(part) => reply::pass(part),
-                        None => reply::unknown(Cause::Lost),
-                    },
-                }
-            }
-            Verdict::None { not_run, cause } => {
-                self.state.metrics.refused(cause.name());
-                if self.state.metrics.may_log() {
-                    let causes: Vec<_> = (0..self.shards.len()).map(|s| scatter.cause(s)).collect();
-                    log::info!(
-                        id, route, version, calls, not_run, cause = cause.name(), causes:? = causes,
-                        took_us = micros(took); "request.failed"
-                    );
-                }
-                if not_run {
-                    return reply::not_run(cause.name(), AGAIN_REFUSED);
-                }
-                let own = match self.records {
-                    None => self.own_failure(&mut replies),
-                    Some(_) => None,
-                };
-                own.map_or_else(|| reply::unknown(cause), reply::pass)
-            }
+        let (version, calls) = (self.table.config().version, scatter.calls());
+        log::debug!(id, route, version, calls, missing; "request.answered");
+        if missing > 0 && self.state.metrics.may_log() {
+            let causes: Vec<_> = (0..chosen.len()).filter_map(|s| scatter.cause(s)).collect();
+            log::info!(
+                id, route, version, calls, missing, causes:? = causes,
+                took_us = micros(took); "request.partial"
+            );
+        }
+        match self.records {
+            Some(records) => reply::merged(&self.state, &parts, missing, records),
+            None => match parts.pop() {
+                Some(part) => reply::pass(part),
+                None => reply::unknown(Cause::Lost),
+            },
         }
     }
 
+    /// The refusal of a request that has no answer.
+    fn fail(
+        &self,
+        scatter: &Scatter,
+        not_run: bool,
+        cause: Cause,
+        mut replies: Vec<Option<Response<Bytes>>>,
+    ) -> Reply {
+        let took = self.state.clock.now().since(self.start);
+        self.state.metrics.refused(cause.name());
+        if self.state.metrics.may_log() {
+            let (id, route) = (self.out.id.as_str(), &*self.route.name);
+            let (version, calls) = (self.table.config().version, scatter.calls());
+            let causes: Vec<_> = (0..self.shards.len()).map(|s| scatter.cause(s)).collect();
+            log::info!(
+                id, route, version, calls, not_run, cause = cause.name(), causes:? = causes,
+                took_us = micros(took); "request.failed"
+            );
+        }
+        if not_run {
+            return reply::not_run(cause.name(), AGAIN_REFUSED);
+        }
+        let own = match self.records {
+            None => self.own_failure(&mut replies),
+            Some(_) => None,
+        };
+        own.map_or_else(|| reply::unknown(cause), reply::pass)
+    }
+
     /// A target's own failure, which says more than ours.
     fn own_failure(&self, replies: &mut [Option<Response<Bytes>>]) -> Option<Response<Bytes>> {
         let ran = |r: &Response<Bytes>| {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use heatherrun_kernel::routes::{Fact, Name, NodeEntry};
+use heatherrun_kernel::routes::{Config, Fact, Name, NodeEntry, TargetEntry};
 use heatherrun_kernel::site::Site;
 use heatherrun_kernel::{Clock, Time};
 use heatherrun_ports::http_client::Client;
@@ -187,20 +187,7 @@
         };
         let revision = item.revision;
         match fact {
-            Fact::Target(entry) => {
-                let place = self.place(&entry.domain);
-                let (id, domain) = (Arc::clone(&entry.id), Arc::clone(&entry.domain));
-                let change = inner.fleet.put(now, entry, place);
-                match change {
-                    Change::New => {
-                        log::info!(target = &*id, domain = &*domain, revision; "target.new");
-                    }
-                    Change::Draining => log::info!(target = &*id, revision; "target.draining"),
-                    Change::Stale => log::debug!(target = &*id, revision; "target.stale"),
-                    Change::None => {}
-                }
-                change == Change::New
-            }
+            Fact::Target(entry) => self.take_target(inner, now, entry, revision),
             Fact::TargetGone(id) => {
                 let gone = inner.fleet.remove(now, &id);
                 log::info!(target = &*id, revision, gone; "target.lapsed");
@@ -208,39 +195,60 @@
             }
             Fact::DomainOut(domain) => {
                 log::info!(domain = &*domain, revision; "domain.out");
-                let mut out = HashSet::clone(&self.out.load());
-                out.insert(domain);
-                self.out.store(Arc::new(out));
+                self.change_out(|out| out.insert(domain));
                 false
             }
             Fact::DomainBack(domain) => {
                 log::info!(domain = &*domain, revision; "domain.back");
-                let mut out = HashSet::clone(&self.out.load());
-                out.remove(&domain);
-                self.out.store(Arc::new(out));
+                self.change_out(|out| out.remove(&domain));
                 false
             }
             Fact::Config(config) => {
-                let known = self.table.load();
-                if known
-                    .as_ref()
-                    .is_some_and(|t| t.config().version >= config.version)
-                {
-                    return false;
-                }
-                log::info!(version = config.version, revision; "config.in-force");
-                let routes: HashSet<_> = config.routes.iter().map(|r| &r.name).collect();
-                let services: HashSet<_> = config.services.iter().map(|s| &s.name).collect();
-                self.learned
-                    .retain(|n| routes.contains(n), |n| services.contains(n));
-                let table = Table::new(Arc::from(config), now.0);
-                self.table.store(Some(Arc::new(table)));
+                self.take_config(now, *config, revision);
                 false
             }
             Fact::Other => false,
         }
     }
 
+    /// Takes a target's report; true when the target or its incarnation is
+    /// new.
+    fn take_target(&self, inner: &mut Inner, now: Time, entry: TargetEntry, revision: u64) -> bool {
+        let place = self.place(&entry.domain);
+        let (id, domain) = (Arc::clone(&entry.id), Arc::clone(&entry.domain));
+        let change = inner.fleet.put(now, entry, place);
+        match change {
+            Change::New => log::info!(target = &*id, domain = &*domain, revision; "target.new"),
+            Change::Draining => log::info!(target = &*id, revision; "target.draining"),
+            Change::Stale => log::debug!(target = &*id, revision; "target.stale"),
+            Change::None => {}
+        }
+        change == Change::New
+    }
+
+    /// Takes a configuration unless its version is known; none goes back.
+    fn take_config(&self, now: Time, config: Config, revision: u64) {
+        let known = self.table.load();
+        let known = known.as_ref().map(|t| t.config().version);
+        if known.is_some_and(|version| version >= config.version) {
+            return;
+        }
+        log::info!(version = config.version, revision; "config.in-force");
+        let routes: HashSet<_> = config.routes.iter().map(|r| &r.name).collect();
+        let services: HashSet<_> = config.services.iter().map(|s| &s.name).collect();
+        self.learned
+            .retain(|n| routes.contains(n), |n| services.contains(n));
+        let table = Table::new(Arc::new(config), now.0);
+        self.table.store(Some(Arc::new(table)));
+    }
+
+    /// Changes the failure domains that are taken out.
+    fn change_out(&self, change: impl FnOnce(&mut HashSet<Name>) -> bool) {
+        let mut out = HashSet::clone(&self.out.load());
+        change(&mut out);
+        self.out.store(Arc::new(out));
+    }
+
     /// Publishes the live nodes and counts those that share bounds.
     fn count_nodes(&self, inner: &mut Inner, now: Time) {
         for node in inner.nodes.values() {
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -16,6 +16,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use heatherrun_kernel::port::StoreError;
 use http::{HeaderMap, HeaderName, Request, Response};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -67,6 +68,19 @@
     BadReply,
 }
 
+impl From<ExchangeError> for StoreError {
+    fn from(error: ExchangeError) -> Self {
+        match error {
+            ExchangeError::NotSent | ExchangeError::Full | ExchangeError::Expired => {
+                Self::Unavailable
+            }
+            ExchangeError::Lost | ExchangeError::TimedOut | ExchangeError::BadReply => {
+                Self::NoAnswer
+            }
+        }
+    }
+}
+
 /// Where and within what bounds a request is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Route {
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -9,6 +9,7 @@
 mod http_io;
 pub mod http_reply;
 pub mod http_server;
+pub mod listen;
 pub mod operator;
 pub mod peer;
 pub mod peer_client;
--- a/crates/ports/src/platform.rs
+++ b/crates/ports/src/platform.rs
@@ -7,7 +7,7 @@
 use heatherrun_kernel::registry::{Make, Plugin, inventory};
 use http::{Request, StatusCode};
 
-use crate::http_client::{Client, ExchangeError, Route, Whose};
+use crate::http_client::{Client, Route, Whose};
 
 /// Connections to the platform at the most.
 const CONNECTIONS: usize = 4;
@@ -21,17 +21,24 @@
 /// The port to the platform at `address`.
 #[must_use]
 pub fn platform(address: SocketAddr) -> Platform {
+    over_http(move |client, call| exchange(client, address, call))
+}
+
+/// A port whose calls share one client.
+pub fn over_http<F>(
+    exchange: impl Fn(Arc<Client>, StoreCall) -> F + Send + Sync + 'static,
+) -> Platform
+where
+    F: Future<Output = Result<StoreReply, StoreError>> + Send + 'static,
+{
     let client = Arc::new(Client::default());
     Platform {
-        call: async_fn(move |call| {
-            let client = Arc::clone(&client);
-            async move { exchange(&client, address, call).await }
-        }),
+        call: async_fn(move |call| exchange(Arc::clone(&client), call)),
     }
 }
 
 async fn exchange(
-    client: &Client,
+    client: Arc<Client>,
     address: SocketAddr,
     call: StoreCall,
 ) -> Result<StoreReply, StoreError> {
@@ -50,13 +57,7 @@
         reply: REPLY_BYTES,
         left: wait + CALL_TIME,
     };
-    let reply = match client.exchange(route, request, |_| Whose::Own).await {
-        Ok(reply) => reply,
-        Err(ExchangeError::NotSent | ExchangeError::Full | ExchangeError::Expired) => {
-            return Err(StoreError::Unavailable);
-        }
-        Err(_) => return Err(StoreError::NoAnswer),
-    };
+    let reply = client.exchange(route, request, |_| Whose::Own).await?;
     if reply.status() != StatusCode::OK {
         return Err(StoreError::Unavailable);
     }
