--- a/crates/kernel/src/site.rs
+++ b/crates/kernel/src/site.rs
@@ -29,8 +29,6 @@
     pub moved: bool,
     /// Calls running and waiting at the target.
     pub busy: Option<u32>,
-    /// Time after which the target closes the connection when idle.
-    pub keep: Option<Duration>,
 }
 
 /// What the directory is asked.
