--- a/crates/kernel/src/routes.rs
+++ b/crates/kernel/src/routes.rs
@@ -90,12 +90,8 @@
 /// What callers may send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
-    /// Longest head of a request, in bytes.
-    pub header_bytes: usize,
     /// Longest body of a request, in bytes.
     pub body_bytes: usize,
-    /// Longest time a connection may stay idle.
-    pub idle_time: Duration,
 }
 
 /// The whole configuration at one version.
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -33,11 +33,7 @@
         version: 1,
         routes,
         services: Vec::new(),
-        callers: CallerLimits {
-            header_bytes: 1,
-            body_bytes: 1,
-            idle_time: Duration::ZERO,
-        },
+        callers: CallerLimits { body_bytes: 1 },
     };
     Table::new(Arc::new(config), 7)
 }
