Admission counts parts lost to load

Cause: at 300% of the load of two-slot searchers nearly all requests were answered and few whole: an answer with a missing part counted as served, so the places at the entry grew past what the targets bear. Change: a share of requests that lose a part to load; places are cut while it is a quarter or more.

--- a/crates/bench/tests/experiments.rs
+++ b/crates/bench/tests/experiments.rs
@@ -142,11 +142,12 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED 2"]
 fn overload_keeps_goodput_of_two_slots() {
-    let rows = run(&named(overload::trials(SEED, SPAN / 2), "lotes"));
-    let goodput = Goodput::of(&rows[0].tally, SPAN / 2);
-    assert!(goodput.much >= goodput.peak * KEPT, "{goodput:?}");
+    for seed in [SEED, 515] {
+        let rows = run(&named(overload::trials(seed, SPAN / 2), "lotes"));
+        let goodput = Goodput::of(&rows[0].tally, SPAN / 2);
+        assert!(goodput.much >= goodput.peak * KEPT, "{seed}: {goodput:?}");
+    }
 }
 
 #[test]
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -10,6 +10,8 @@
 use heatherrun_kernel::Time;
 use heatherrun_kernel::message::Class;
 
+use crate::answer::Strain;
+
 /// Places by which the limit is counted, for fractions of one.
 const UNIT: u32 = 256;
 
@@ -22,6 +24,12 @@
 /// Least time between two such cuts.
 const CUT_SPAN: Duration = Duration::from_millis(20);
 
+/// Weight of one request in the share of those that lost a part, as a divisor.
+const PART_SMOOTHING: u32 = 16;
+
+/// Requests of which one loses a part to load when places are cut.
+const MANY_PARTS: u32 = 4;
+
 /// Part of the places open to a class, in per cent.
 const fn share(class: Class) -> u32 {
     match class {
@@ -39,6 +47,8 @@
     limit: AtomicU32,
     cut_at: AtomicU64,
     taken: AtomicU32,
+    /// Share of requests that lost a part to load, in [`UNIT`]s.
+    parts_lost: AtomicU32,
 }
 
 /// One place; dropping it gives it back.
@@ -62,6 +72,7 @@
             limit: AtomicU32::new(places * UNIT),
             cut_at: AtomicU64::new(0),
             taken: AtomicU32::new(0),
+            parts_lost: AtomicU32::new(0),
         }
     }
 
@@ -75,9 +86,14 @@
             .then(|| Place { admission: self })
     }
 
-    /// Notes how a request ended: refused for load, or not.
-    pub fn note(&self, now: Time, overloaded: bool) {
-        if overloaded {
+    /// Notes what load cost a request.
+    ///
+    /// Past what targets bear, nearly all requests are answered and few are
+    /// whole, so parts lost count once they are many. One slow replica costs
+    /// a part now and then, and calls for no shedding.
+    pub fn note(&self, now: Time, strain: Strain) {
+        let torn = self.note_part(strain == Strain::Part);
+        if strain == Strain::Refused || torn {
             self.cut(now);
             return;
         }
@@ -92,6 +108,16 @@
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
     }
 
+    /// Notes whether a request lost a part; true while many of them do.
+    fn note_part(&self, lost: bool) -> bool {
+        let goal = if lost { UNIT } else { 0 };
+        let step = |old: u32| Some((old * (PART_SMOOTHING - 1) + goal) / PART_SMOOTHING);
+        let old = self
+            .parts_lost
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
+        lost && old.is_ok_and(|share| share >= UNIT / MANY_PARTS)
+    }
+
     fn cut(&self, now: Time) {
         let last = self.cut_at.load(Ordering::Relaxed);
         if last != 0 && now < Time(last) + CUT_SPAN {
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -15,6 +15,17 @@
     pub failure: Failure,
 }
 
+/// What load cost a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Strain {
+    /// Nothing.
+    None,
+    /// Part of its answer.
+    Part,
+    /// All of it.
+    Refused,
+}
+
 /// The outcome of a query.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
@@ -31,6 +42,19 @@
     },
 }
 
+impl Verdict {
+    /// What the verdict says of the load behind the entry.
+    #[must_use]
+    pub fn strain(&self) -> Strain {
+        let is_load = |failure| matches!(failure, Failure::Busy | Failure::Expired);
+        match self {
+            Self::Refused { failure, .. } if is_load(*failure) => Strain::Refused,
+            Self::Answer(m) if m.missing.iter().any(|m| is_load(m.failure)) => Strain::Part,
+            _ => Strain::None,
+        }
+    }
+}
+
 /// A merged answer.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Merged {
--- a/crates/policy/tests/query.rs
+++ b/crates/policy/tests/query.rs
@@ -5,6 +5,7 @@
 use common::{HEDGE, Side, not_run, reply, sends, service, spec, unknown};
 use heatherrun_kernel::message::{CallKind, Failure, Ran, Reason};
 use heatherrun_kernel::{Snapshot, Time};
+use heatherrun_policy::answer::Strain;
 use heatherrun_policy::marks::Level;
 use heatherrun_policy::query::{Action, Query, Verdict};
 
@@ -224,3 +225,25 @@
     assert!(query.wake_at(START + HEDGE * 2) <= patient);
     assert!(matches!(query.verdict(patient), Some(Verdict::Answer(_))));
 }
+
+#[test]
+fn verdict_tells_what_load_cost() {
+    for (failure, strain) in [
+        (Failure::Busy, Strain::Part),
+        (Failure::Expired, Strain::Part),
+        (Failure::ConnectionLost, Strain::None),
+    ] {
+        let service = service(2, 1, 1);
+        let mut side = Side::new(&service);
+        let mut asked = spec(&service, CallKind::Search);
+        asked.least = 50;
+        asked.deadline = START + HEDGE;
+        let mut query = Query::new(asked, Snapshot(3));
+        let sent = sends(&side.with(|cx| query.start(START, cx)));
+        side.done(&mut query, START, sent[0].attempt, not_run(failure));
+        side.done(&mut query, START, sent[1].attempt, reply(&sent[1], 3, 1));
+        let verdict = query.verdict(START + HEDGE).unwrap();
+        assert!(matches!(verdict, Verdict::Answer(_)), "{failure:?}");
+        assert_eq!(verdict.strain(), strain, "{failure:?}");
+    }
+}
--- a/crates/tier/src/drive.rs
+++ b/crates/tier/src/drive.rs
@@ -330,14 +330,3 @@
     let heard = view.nodes.get(&owner.node);
     view.admits(target) && heard.is_some_and(|m| m.standing != Standing::Silent)
 }
-
-/// Whether a verdict is a refusal for load.
-pub(crate) fn is_overload(verdict: &Verdict) -> bool {
-    matches!(
-        verdict,
-        Verdict::Refused {
-            failure: Failure::Busy | Failure::Expired,
-            ..
-        }
-    )
-}
--- a/crates/tier/src/entry.rs
+++ b/crates/tier/src/entry.rs
@@ -24,7 +24,7 @@
 use heatherrun_schema::v1;
 
 use crate::claim::OnceServed;
-use crate::drive::{self, Drive};
+use crate::drive::Drive;
 use crate::once::Once;
 use crate::outcome::{self, Early, Ended, Outcomes, SHED};
 use crate::owner::Owner;
@@ -293,9 +293,8 @@
         });
         self.traces.keep(trace);
         let name = request.trace.clone();
-        let overloaded = drive::is_overload(&verdict);
         let shared = self.shared(&request.service);
-        shared.admission.note(self.clock.now(), overloaded);
+        shared.admission.note(self.clock.now(), verdict.strain());
         match verdict {
             Verdict::Answer(merged) => Ok(Served {
                 id: name,
