Requests that crash three searchers are not sent again by any gateway

Ruled out: counting lost connections alone; answers get lost and searchers end for other reasons, and paths repeat. Change: routing::crashers. A lost call becomes a mark when its searcher is known to have ended (connection refused, entry gone, new incarnation); three marks of one fingerprint ban it; a success of the same request takes them back. Nodes tell each other by the relay. The marks are those of policy::marks, which takes its count as an argument now. ExchangeError tells a refused connection apart. Test that failed first: request_that_crashes_searchers_is_kept_from_more_of_them (200 instead of 503 with the ban off); five of decisions without network.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -11,6 +11,7 @@
 use heatherrun_routing::target::Target;
 use http::{HeaderMap, Method, Request, Response, Uri};
 
+use crate::crashes;
 use crate::state::State;
 
 /// Longest reply of a target, in bytes.
@@ -37,6 +38,14 @@
     pub latency: Arc<RouteLatency>,
 }
 
+impl Outgoing {
+    /// Fingerprint of the request.
+    #[must_use]
+    pub fn print(&self) -> u64 {
+        crashes::print(&self.method, &self.uri, &self.body)
+    }
+}
+
 /// How a call ended, and what came back.
 #[derive(Debug)]
 pub struct Ended {
@@ -99,7 +108,11 @@
             let end = judge(&state, &out, &send.target, &reply, now.since(begun));
             (end, Some(reply))
         }
-        Err(error) => (failed(&send.target, now, error), None),
+        Err(error) => {
+            let end = failed(&send.target, now, error);
+            note_end(&state, &out, &send.target, now, error);
+            (end, None)
+        }
     };
     if end != CallEnd::Part {
         log_end(&state, &out, &send, end, reply.as_ref(), now.since(begun));
@@ -158,7 +171,7 @@
     match error {
         // No room or no time here says nothing of the target.
         ExchangeError::Full | ExchangeError::Expired => CallEnd::NotSent,
-        ExchangeError::NotSent => {
+        ExchangeError::NotSent | ExchangeError::Refused => {
             target.failed(now);
             CallEnd::NotSent
         }
@@ -169,6 +182,15 @@
     }
 }
 
+/// Notes what the error says of a request that may crash its targets.
+fn note_end(state: &State, out: &Outgoing, target: &Target, now: Time, error: ExchangeError) {
+    match error {
+        ExchangeError::Lost => state.crashes.lost(now, out.print(), target),
+        ExchangeError::Refused => state.crashes.ended(now, target),
+        _ => {}
+    }
+}
+
 fn log_end(
     state: &State,
     out: &Outgoing,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -93,7 +93,8 @@
             peers: bind(me.peers).await?,
             doors,
         };
-        let state = State::new(me, terms, Clock::start(), site);
+        let (state, findings) = State::new(me, terms, Clock::start(), site);
+        tokio::spawn(relay::tell(Arc::clone(&state), findings));
         Ok(Self::serve(state, listeners, &platform))
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,9 +3,11 @@
 //!
 //! A request goes through [`serve`] and [`calls`]; what a node knows comes by
 //! [`sync`] and [`member`] from the store, or by [`relay`] from another node,
-//! into [`state`]. [`gateway`] starts and stops a node.
+//! into [`state`]. [`crashes`] keeps requests that crash
+//! targets away from them. [`gateway`] starts and stops a node.
 
 pub mod calls;
+pub mod crashes;
 pub mod doors;
 pub mod gateway;
 pub mod member;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 };
 
 use futures::StreamExt;
+use heatherrun_kernel::control::Suspicion;
 use heatherrun_ports::peer::frames;
 use heatherrun_routing::feed::Delta;
 use serde::{Deserialize, Serialize};
@@ -16,6 +17,7 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context, serde_transport};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::Receiver;
 
 use crate::state::State;
 
@@ -40,6 +42,8 @@
 pub trait Relay {
     /// Items that changed after a revision.
     async fn changes(after: u64) -> Pulled;
+    /// A request that crashed a target.
+    async fn crashed(suspicion: Suspicion);
 }
 
 #[derive(Clone)]
@@ -55,6 +59,11 @@
             age: heatherrun_kernel::time::micros(age),
         }
     }
+
+    async fn crashed(self, _: context::Context, suspicion: Suspicion) {
+        let now = self.state.clock.now();
+        self.state.crashes.told(now, suspicion);
+    }
 }
 
 /// Serves other nodes on `listener`, for ever.
@@ -76,6 +85,28 @@
     }
 }
 
+/// Context of a question whose answer is awaited now.
+fn soon() -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + ANSWER_TIME;
+    context
+}
+
+/// Tells all other nodes what `findings` gives, for ever.
+pub async fn tell(state: Arc<State>, mut findings: Receiver<Suspicion>) {
+    let peers = Peers::default();
+    while let Some(suspicion) = findings.recv().await {
+        let nodes = state.nodes.load_full();
+        let others = nodes.iter().filter(|n| n.name != state.me.name);
+        let told = others.map(|n| peers.crashed(n.peers, suspicion));
+        let told = futures::future::join_all(told).await;
+        let missed = told.iter().filter(|told| !**told).count();
+        if missed > 0 {
+            log::warn!(print = suspicion.print, nodes = missed; "request.marks-untold");
+        }
+    }
+}
+
 /// Connections to other nodes.
 #[derive(Default)]
 pub struct Peers {
@@ -99,14 +130,31 @@
     }
 
     async fn ask(&self, address: SocketAddr, after: u64) -> Option<Pulled> {
-        let known = self.lock().get(&address).cloned();
-        let client = match known {
-            Some(client) => client,
-            None => self.connect(address).await?,
+        let client = self.client(address).await?;
+        client.changes(soon(), after).await.ok()
+    }
+
+    /// Tells the node at `address` of a request that crashed a target; false
+    /// when it does not answer in time.
+    pub async fn crashed(&self, address: SocketAddr, suspicion: Suspicion) -> bool {
+        let tell = async {
+            let client = self.client(address).await?;
+            client.crashed(soon(), suspicion).await.ok()
         };
-        let mut context = context::current();
-        context.deadline = Instant::now() + ANSWER_TIME;
-        client.changes(context, after).await.ok()
+        let told = tokio::time::timeout(ANSWER_TIME, tell).await;
+        let told = told.ok().flatten().is_some();
+        if !told {
+            self.lock().remove(&address);
+        }
+        told
+    }
+
+    async fn client(&self, address: SocketAddr) -> Option<RelayClient> {
+        let known = self.lock().get(&address).cloned();
+        match known {
+            Some(client) => Some(client),
+            None => self.connect(address).await,
+        }
     }
 
     async fn connect(&self, address: SocketAddr) -> Option<RelayClient> {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -7,6 +7,7 @@
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Destination, Name, Route};
 use heatherrun_kernel::time::micros;
+use heatherrun_policy::marks;
 use heatherrun_ports::http_reply::{Fault, Reply, plain};
 use heatherrun_ports::http_server::Received;
 use heatherrun_routing::choice::{self, Choice, Choices};
@@ -18,6 +19,7 @@
 use http::{Response, StatusCode, header};
 
 use crate::calls::{self, Ended, Outgoing};
+use crate::crashes;
 use crate::reply;
 use crate::state::State;
 
@@ -32,6 +34,10 @@
 /// When callers come again that no target could take.
 const AGAIN_REFUSED: Duration = Duration::from_millis(150);
 
+/// When callers come again whose request crashes its targets: its marks last
+/// that long.
+const AGAIN_BANNED: Duration = marks::EXPIRY;
+
 /// Answers one request.
 pub async fn answer(state: Arc<State>, received: Result<Received, Fault>) -> Reply {
     let start = state.clock.now();
@@ -56,6 +62,15 @@
         }
         return plain(StatusCode::NOT_FOUND, "no route for this host and path");
     };
+    let print = || crashes::print(&received.head.method, uri, &received.body);
+    if state.crashes.is_banned(start, print) {
+        state.metrics.refused("crashes-targets");
+        let (route, print) = (&*route.name, print());
+        if state.metrics.may_log() {
+            log::info!(route, print; "request.banned");
+        }
+        return reply::not_run("the request crashes its targets", AGAIN_BANNED);
+    }
     let route = route.clone();
     let serving = Serving::new(state, &table, route, received, start);
     serving.run().await
@@ -252,6 +267,8 @@
         let mut parts: Vec<_> = parts.filter_map(|ix| replies[*ix].take()).collect();
         let missing = chosen.len() - parts.len();
         self.state.metrics.answered(took, missing);
+        let now = self.state.clock.now();
+        self.state.crashes.answered(now, || self.out.print());
         let (id, route) = (self.out.id.as_str(), &*self.route.name);
         let (version, calls) = (self.table.config().version, scatter.calls());
         log::debug!(id, route, version, calls, missing; "request.answered");
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use heatherrun_kernel::control::Suspicion;
 use heatherrun_kernel::routes::{Config, Fact, Name, NodeEntry, TargetEntry};
 use heatherrun_kernel::site::Site;
 use heatherrun_kernel::{Clock, Time};
@@ -23,6 +24,10 @@
 use heatherrun_routing::table::Table;
 use heatherrun_routing::target::{Distance, Place};
 
+use tokio::sync::mpsc::Receiver;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::crashes::Crashes;
 use crate::metrics::Metrics;
 
 /// Time for which a node that is gone still counts as one that shares a
@@ -78,6 +83,8 @@
     pub learned: Learned,
     /// Connections to targets.
     pub targets: Client,
+    /// Requests that crash targets.
+    pub crashes: Crashes,
     /// Counters and latencies.
     pub metrics: Metrics,
     stopping: AtomicBool,
@@ -87,10 +94,17 @@
 }
 
 impl State {
-    /// State of a node that knows nothing yet.
+    /// State of a node that knows nothing yet. What the receiver gives is for
+    /// all other nodes.
     #[must_use]
-    pub fn new(me: NodeEntry, terms: Terms, clock: Clock, site: &'static Site) -> Arc<Self> {
-        Arc::new(Self {
+    pub fn new(
+        me: NodeEntry,
+        terms: Terms,
+        clock: Clock,
+        site: &'static Site,
+    ) -> (Arc<Self>, Receiver<Suspicion>) {
+        let (crashes, told) = Crashes::new(xxh3_64(me.name.as_bytes()));
+        let made = Arc::new(Self {
             me,
             terms: ArcSwap::from_pointee(terms),
             clock,
@@ -101,11 +115,13 @@
             nodes: ArcSwap::default(),
             learned: Learned::default(),
             targets: Client::default(),
+            crashes,
             metrics: Metrics::default(),
             stopping: AtomicBool::new(false),
             shares: ArcSwap::default(),
             inner: Mutex::default(),
-        })
+        });
+        (made, told)
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -169,6 +185,9 @@
             self.services.store(Arc::new(inner.fleet.services()));
         }
         self.count_nodes(&mut inner, now);
+        for target in inner.fleet.take_ended() {
+            self.crashes.ended(now, &target);
+        }
     }
 
     /// Takes one item; true when the set of targets changed.
--- a/crates/policy/src/marks.rs
+++ b/crates/policy/src/marks.rs
@@ -9,7 +9,7 @@
 pub const MARKS: usize = 2;
 
 /// Time that a mark counts.
-const EXPIRY: Duration = Duration::from_mins(10);
+pub const EXPIRY: Duration = Duration::from_mins(10);
 
 /// Losses of calls on one target within this time are one crash.
 const ONE_CRASH: Duration = Duration::from_secs(2);
@@ -59,12 +59,29 @@
 }
 
 /// All fingerprints with marks.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Marks {
     prints: HashMap<u64, Print>,
+    /// Marks after which a request is not attempted any more.
+    most: usize,
+}
+
+impl Default for Marks {
+    fn default() -> Self {
+        Self::new(MARKS)
+    }
 }
 
 impl Marks {
+    /// No marks; `most` of one fingerprint ban it.
+    #[must_use]
+    pub fn new(most: usize) -> Self {
+        Self {
+            prints: HashMap::new(),
+            most,
+        }
+    }
+
     /// Takes a suspicion; true when it was new and others should learn of it.
     pub fn note(&mut self, now: Time, told: Suspicion) -> bool {
         if !self.prints.contains_key(&told.print) {
@@ -98,7 +115,7 @@
     pub fn level(&self, now: Time, print: u64) -> Level {
         self.prints
             .get(&print)
-            .map_or(Level::Clear, |print| print.level(now))
+            .map_or(Level::Clear, |print| print.level(now, self.most))
     }
 
     /// Whether no fingerprint has a mark.
@@ -184,20 +201,20 @@
 
     /// A request that succeeded on some shard is banned only for crashes on
     /// one and the same other shard, so that a lost rack bans nothing.
-    fn level(&self, now: Time) -> Level {
+    fn level(&self, now: Time, most: usize) -> Level {
         let mut total = 0;
         let mut unproven = 0;
         for mark in self.fresh(now) {
             let alike = self.fresh(now).filter(|m| m.shard == mark.shard).count();
-            if alike >= MARKS {
+            if alike >= most {
                 return Level::Banned;
             }
             total += 1;
             unproven += usize::from(!mark.proven);
         }
-        match (total, unproven) {
-            (_, MARKS..) => Level::Banned,
-            (0, _) => Level::Clear,
+        match total {
+            _ if unproven >= most => Level::Banned,
+            0 => Level::Clear,
             _ => Level::Suspect,
         }
     }
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -51,6 +51,9 @@
     /// No byte of the request was sent.
     #[error("no connection; the request was not sent")]
     NotSent,
+    /// Nothing listens at the address.
+    #[error("connection refused; the request was not sent")]
+    Refused,
     /// All connections to the address are in use.
     #[error("no free connection; the request was not sent")]
     Full,
@@ -71,9 +74,10 @@
 impl From<ExchangeError> for StoreError {
     fn from(error: ExchangeError) -> Self {
         match error {
-            ExchangeError::NotSent | ExchangeError::Full | ExchangeError::Expired => {
-                Self::Unavailable
-            }
+            ExchangeError::NotSent
+            | ExchangeError::Refused
+            | ExchangeError::Full
+            | ExchangeError::Expired => Self::Unavailable,
             ExchangeError::Lost | ExchangeError::TimedOut | ExchangeError::BadReply => {
                 Self::NoAnswer
             }
@@ -287,9 +291,11 @@
 }
 
 async fn connect(address: SocketAddr, place: Place) -> Result<Link, ExchangeError> {
-    let stream = TcpStream::connect(address)
-        .await
-        .map_err(|_| ExchangeError::NotSent)?;
+    let connected = TcpStream::connect(address).await;
+    let stream = connected.map_err(|error| match error.kind() {
+        ErrorKind::ConnectionRefused => ExchangeError::Refused,
+        _ => ExchangeError::NotSent,
+    })?;
     set_options(&stream);
     Ok(Link {
         stream,
--- a/crates/ports/src/target.rs
+++ b/crates/ports/src/target.rs
@@ -78,7 +78,7 @@
     let sent = client.exchange(route, request, |reply| repeats(reply, &id));
     match sent.await {
         Ok(reply) => decode(&reply),
-        Err(ExchangeError::NotSent | ExchangeError::Full) => {
+        Err(ExchangeError::NotSent | ExchangeError::Refused | ExchangeError::Full) => {
             Err(CallError::not_run(Failure::NoConnection))
         }
         Err(ExchangeError::Expired) => Err(CallError::not_run(Failure::Expired)),
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -37,6 +37,8 @@
     targets: BTreeMap<Name, Arc<Target>>,
     lapsed: BTreeMap<Name, Time>,
     outage_end: Option<Time>,
+    /// Incarnations that ended and were not told yet.
+    ended: Vec<Arc<Target>>,
 }
 
 impl Fleet {
@@ -64,6 +66,7 @@
                 };
             }
             known.set_gone();
+            self.ended.push(Arc::clone(known));
         }
         let id = Arc::clone(&entry.id);
         self.targets
@@ -107,9 +110,15 @@
         self.lapsed.remove(id);
         if let Some(target) = self.targets.remove(id) {
             target.set_gone();
+            self.ended.push(target);
         }
     }
 
+    /// Incarnations that ended since this was last asked.
+    pub fn take_ended(&mut self) -> Vec<Arc<Target>> {
+        std::mem::take(&mut self.ended)
+    }
+
     /// Targets by service.
     #[must_use]
     pub fn services(&self) -> Services {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! out. It opens no socket and reads no clock.
 
 pub mod choice;
+pub mod crashers;
 pub mod directory;
 pub mod extra;
 pub mod feed;
