heatherrun why; metrics by route, service and failure domain; lines bounded by kind

Cause: an on-call engineer had only grep, lines of partial answers did not name the missing shards (causes=[] for late ones), metrics told coverage and cause alone, and a flood of one kind of line left out those of failed requests.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -22,7 +22,8 @@
     error_code(2, "the command line or a file holds a fault; nothing was changed"),
     error_code(3, "no node was reached"),
     error_code(4, "accepted, but not in force on every node within --wait"),
-    error_code(5, "the answer is lost; the call may have taken effect")
+    error_code(5, "the answer is lost; the call may have taken effect"),
+    error_code(6, "no line names the request")
 )]
 pub struct Arguments {
     /// operator address of a node, as IP:port; several are tried in turn
@@ -57,6 +58,7 @@
     Burn(Burn),
     Marks(Marks),
     Plugins(Plugins),
+    Why(Why),
 }
 
 /// Check a settings file of a node or a tier; list every fault with file, line, key and remedy.
@@ -245,6 +247,22 @@
 #[argh(subcommand, name = "plugins", example = "heatherrun plugins")]
 pub struct Plugins {}
 
+/// Tell from log lines what became of one request, and why; calls no node.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "why",
+    example = "heatherrun why 735170e573b98e95 front-1.log front-2.log\ncat *.log | heatherrun why 735170e573b98e95 --json"
+)]
+pub struct Why {
+    /// id of the request, as its caller named it
+    #[argh(positional)]
+    pub id: String,
+    /// files of log lines, of any nodes; standard input when left out
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Reads the words after the program's name.
 ///
 /// # Errors
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -15,6 +15,7 @@
     let reply = match &arguments.command {
         Command::Check(check) => local::check(&check.file),
         Command::Plugins(_) => Ok(local::plugins(json)),
+        Command::Why(why) => local::why(why, json),
         Command::Apply(apply) => write::apply(apply, session, json),
         Command::Domain(domain) => write::domain(domain, session, json),
         Command::Drain(drain) => write::drain(drain, session, json),
--- a/crates/cli/src/local.rs
+++ b/crates/cli/src/local.rs
@@ -1,15 +1,17 @@
 //! Commands that call no node.
 
-use std::{fs, path::Path};
+use std::{borrow::Cow, fs, io::Read as _, path::Path};
 
 use anyhow::{Context as _, Result};
 use heatherrun_kernel::registry;
 use heatherrun_report::plugins;
+use heatherrun_report::story::{self, Story};
 use heatherrun_settings::{Checked, Settings};
 use serde::Serialize;
 
+use crate::args::Why;
 use crate::command::print;
-use crate::reply::{Reply, push_line};
+use crate::reply::{Exit, Reply, push_line};
 
 /// Text of a file.
 pub(crate) fn read(file: &Path) -> Result<String> {
@@ -37,6 +39,40 @@
     Ok(Reply::done(text))
 }
 
+/// Tells what became of one request.
+pub(crate) fn why(why: &Why, json: bool) -> Result<Reply> {
+    let mut text = String::new();
+    for file in &why.files {
+        text.push_str(&read_logs(&fs::read(file).with_context(|| {
+            let name = file.display();
+            format!("cannot read {name}; name a readable file")
+        })?));
+        text.push('\n');
+    }
+    if why.files.is_empty() {
+        let mut bytes = Vec::new();
+        let read = std::io::stdin().lock().read_to_end(&mut bytes);
+        read.context("cannot read standard input; name files of log lines")?;
+        text = read_logs(&bytes).into_owned();
+    }
+    let lines: Vec<_> = story::lines(&text).collect();
+    let Some(story) = Story::of(&lines, &why.id) else {
+        let notes = format!(
+            "heatherrun: none of {} log lines names request {}; add the lines of all nodes, also \
+             those of `log.dropped` times\n",
+            lines.len(),
+            why.id
+        );
+        return Ok(Reply::failed(Exit::NoLine, notes));
+    };
+    Ok(print(&story, json, story::text))
+}
+
+/// Text of log bytes; a line that was cut inside a character is kept.
+fn read_logs(bytes: &[u8]) -> Cow<'_, str> {
+    String::from_utf8_lossy(bytes)
+}
+
 /// One plug-in for programs.
 #[derive(Debug, Serialize)]
 struct Listed {
--- a/crates/cli/src/reply.rs
+++ b/crates/cli/src/reply.rs
@@ -22,6 +22,8 @@
     NotInForce = 4,
     /// The answer is lost; the call may have taken effect.
     Unknown = 5,
+    /// No line names the request.
+    NoLine = 6,
 }
 
 /// Adds one line to `text`.
--- a/crates/cli/tests/transcript.rs
+++ b/crates/cli/tests/transcript.rs
@@ -299,7 +299,7 @@
 fn help_each_command_has_example() {
     let commands = [
         "check", "apply", "status", "services", "shards", "limits", "nodes", "targets", "history",
-        "diff", "domain", "drain", "explain", "burn", "marks", "plugins",
+        "diff", "domain", "drain", "explain", "burn", "marks", "plugins", "why",
     ];
     for name in commands {
         let reply = run(&format!("{name} --help"));
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -12,7 +12,9 @@
 use http::{HeaderMap, Method, Request, Response, Uri};
 
 use crate::crashes;
+use crate::metrics::Called;
 use crate::state::State;
+use crate::throttle::Kind;
 
 /// Longest reply of a target, in bytes.
 const REPLY_BYTES: usize = 8 << 20;
@@ -114,8 +116,17 @@
             (end, None)
         }
     };
-    if end != CallEnd::Part {
-        log_end(&state, &out, &send, end, reply.as_ref(), now.since(begun));
+    let took = now.since(begun);
+    let entry = &send.target.entry;
+    state.metrics.called(&Called {
+        service: &entry.service,
+        domain: &entry.domain,
+        end,
+        reason: send.reason,
+        took,
+    });
+    if end != CallEnd::Part && state.throttle.allows(now, Kind::Call) {
+        log_end(&out, &send, end, reply.as_ref(), took);
     }
     Ended {
         call: send.call,
@@ -192,21 +203,17 @@
 }
 
 fn log_end(
-    state: &State,
     out: &Outgoing,
     send: &Send,
     end: CallEnd,
     reply: Option<&Response<Bytes>>,
     took: Duration,
 ) {
-    if !state.metrics.may_log() {
-        return;
-    }
     let status = reply.map_or(0, |r| r.status().as_u16());
     let entry = &send.target.entry;
     log::info!(
         id = out.id.as_str(), target = &*entry.id, service = &*entry.service,
-        reason:? = send.reason, end:? = end, status, took_us = micros(took);
+        reason = send.reason.name(), end = end.name(), status, took_us = micros(took);
         "call.failed"
     );
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod serve;
 pub mod state;
 pub mod sync;
+pub mod throttle;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -22,6 +22,7 @@
 use crate::crashes;
 use crate::reply;
 use crate::state::State;
+use crate::throttle::Kind;
 
 /// Time that calls which are not needed any more may still take. A connection
 /// that is closed costs its target a new one; one that waits longer than a
@@ -38,6 +39,9 @@
 /// that long.
 const AGAIN_BANNED: Duration = marks::EXPIRY;
 
+/// Shards without a part that one log line names.
+const MOST_NAMED: usize = 12;
+
 /// Answers one request.
 pub async fn answer(state: Arc<State>, received: Result<Received, Fault>) -> Reply {
     let start = state.clock.now();
@@ -46,7 +50,7 @@
         Err(fault) => return fault.reply(),
     };
     let Some(table) = state.table.load_full() else {
-        state.metrics.refused("unready");
+        state.metrics.turned_away("unready");
         return reply::not_run("no configuration is known yet", AGAIN_UNREADY);
     };
     if received.body.len() > table.config().callers.body_bytes {
@@ -57,16 +61,17 @@
     let host = host.and_then(|h| h.to_str().ok()).or_else(|| uri.host());
     let Some(route) = table.route(host.unwrap_or_default(), uri.path()) else {
         let (host, path) = (host.unwrap_or_default(), uri.path());
-        if state.metrics.may_log() {
+        state.metrics.turned_away("no-route");
+        if state.throttle.allows(start, Kind::Turned) {
             log::info!(host, path, version = table.config().version; "request.no-route");
         }
         return plain(StatusCode::NOT_FOUND, "no route for this host and path");
     };
     let print = || crashes::print(&received.head.method, uri, &received.body);
     if state.crashes.is_banned(start, print) {
-        state.metrics.refused("crashes-targets");
+        state.metrics.turned_away("crashes-targets");
         let (route, print) = (&*route.name, print());
-        if state.metrics.may_log() {
+        if state.throttle.allows(start, Kind::Turned) {
             log::info!(route, print; "request.banned");
         }
         return reply::not_run("the request crashes its targets", AGAIN_BANNED);
@@ -262,21 +267,20 @@
         chosen: &[Option<CallIx>],
         mut replies: Vec<Option<Response<Bytes>>>,
     ) -> Reply {
-        let took = self.state.clock.now().since(self.start);
         let parts = chosen.iter().flatten();
         let mut parts: Vec<_> = parts.filter_map(|ix| replies[*ix].take()).collect();
         let missing = chosen.len() - parts.len();
-        self.state.metrics.answered(took, missing);
         let now = self.state.clock.now();
+        let took = now.since(self.start);
+        self.state.metrics.answered(&self.route.name, took, missing);
         self.state.crashes.answered(now, || self.out.print());
         let (id, route) = (self.out.id.as_str(), &*self.route.name);
         let (version, calls) = (self.table.config().version, scatter.calls());
         log::debug!(id, route, version, calls, missing; "request.answered");
-        if missing > 0 && self.state.metrics.may_log() {
-            let causes: Vec<_> = (0..chosen.len()).filter_map(|s| scatter.cause(s)).collect();
+        if missing > 0 && self.state.throttle.allows(now, Kind::Partial) {
             log::info!(
-                id, route, version, calls, missing, causes:? = causes,
-                took_us = micros(took); "request.partial"
+                id, route, version, shards = chosen.len(), calls, hedges = scatter.hedges(),
+                missing = self.missing(scatter).as_str(), took_us = micros(took); "request.partial"
             );
         }
         match self.records {
@@ -288,6 +292,24 @@
         }
     }
 
+    /// Services without a part and why, as "service:reason", for a log line.
+    fn missing(&self, scatter: &Scatter) -> String {
+        let mut text = String::new();
+        for (count, (slot, cause)) in scatter.missing().enumerate() {
+            if count == MOST_NAMED {
+                text.push_str(",..");
+                break;
+            }
+            if count > 0 {
+                text.push(',');
+            }
+            text.push_str(&self.shards[slot]);
+            text.push(':');
+            text.push_str(cause.name());
+        }
+        text
+    }
+
     /// The refusal of a request that has no answer.
     fn fail(
         &self,
@@ -296,14 +318,17 @@
         cause: Cause,
         mut replies: Vec<Option<Response<Bytes>>>,
     ) -> Reply {
-        let took = self.state.clock.now().since(self.start);
-        self.state.metrics.refused(cause.name());
-        if self.state.metrics.may_log() {
+        let now = self.state.clock.now();
+        let took = now.since(self.start);
+        let name = &self.route.name;
+        self.state.metrics.failed(name, not_run, cause.name());
+        if self.state.throttle.allows(now, Kind::Failed) {
             let (id, route) = (self.out.id.as_str(), &*self.route.name);
             let (version, calls) = (self.table.config().version, scatter.calls());
-            let causes: Vec<_> = (0..self.shards.len()).map(|s| scatter.cause(s)).collect();
             log::info!(
-                id, route, version, calls, not_run, cause = cause.name(), causes:? = causes,
+                id, route, version, shards = self.shards.len(), calls,
+                hedges = scatter.hedges(), missing = self.missing(scatter).as_str(), not_run,
+                cause = cause.name(), left_us = micros(self.plan.end.left(self.start)),
                 took_us = micros(took); "request.failed"
             );
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,6 +29,7 @@
 
 use crate::crashes::Crashes;
 use crate::metrics::Metrics;
+use crate::throttle::Throttle;
 
 /// Time for which a node that is gone still counts as one that shares a
 /// bound, so that the shares of the others do not grow while it may send.
@@ -87,6 +88,8 @@
     pub crashes: Crashes,
     /// Counters and latencies.
     pub metrics: Metrics,
+    /// Bounds of lines about single requests.
+    pub throttle: Throttle,
     stopping: AtomicBool,
     /// This node's parts of what all nodes share.
     pub shares: ArcSwap<Shares>,
@@ -117,6 +120,7 @@
             targets: Client::default(),
             crashes,
             metrics: Metrics::default(),
+            throttle: Throttle::default(),
             stopping: AtomicBool::new(false),
             shares: ArcSwap::default(),
             inner: Mutex::default(),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -86,6 +86,7 @@
     pub async fn run(mut self) {
         loop {
             let wait = self.round().await;
+            self.state.throttle.tell();
             tokio::time::sleep(wait).await;
         }
     }
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -4,6 +4,7 @@
 //! keeps the counts by minute, and [`window`] turns them into burn rates. For
 //! an operator, [`merge`] adds the answers of several nodes, [`alert`] judges
 //! them, and [`text`] and [`page`] print them; both register as plug-ins.
+//! [`story`] tells what became of one request from log lines.
 
 pub mod alert;
 pub mod history;
@@ -13,6 +14,7 @@
 mod plot;
 pub mod plugins;
 pub mod recorder;
+pub mod story;
 pub mod table;
 pub mod text;
 pub mod units;
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -49,6 +49,20 @@
     Lost,
 }
 
+impl CallEnd {
+    /// Name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Part => "part",
+            Self::NotSent => "not-sent",
+            Self::NotRun => "not-run",
+            Self::Failed => "failed",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 /// Why a shard is missing, or a request without answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Cause {
@@ -95,6 +109,18 @@
     Retry,
 }
 
+impl Reason {
+    /// Name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Hedge => "hedge",
+            Self::Retry => "retry",
+        }
+    }
+}
+
 /// A call to send.
 #[derive(Clone, Debug)]
 pub struct Send {
@@ -179,6 +205,7 @@
     plan: Plan,
     slots: Vec<Slot>,
     calls: Vec<SlotIx>,
+    hedges: usize,
 }
 
 impl Scatter {
@@ -191,6 +218,7 @@
             plan,
             slots,
             calls: Vec::with_capacity(shards),
+            hedges: 0,
         }
     }
 
@@ -200,10 +228,22 @@
         self.calls.len()
     }
 
-    /// Why the shard is missing, once it is given up.
+    /// Calls sent beside slow ones so far.
     #[must_use]
-    pub fn cause(&self, slot: SlotIx) -> Option<Cause> {
-        self.slots.get(slot)?.cause
+    pub const fn hedges(&self) -> usize {
+        self.hedges
+    }
+
+    /// Shards without a part, each with the reason; one that still waits for
+    /// a reply is late.
+    pub fn missing(&self) -> impl Iterator<Item = (SlotIx, Cause)> {
+        let missing = self.slots.iter().enumerate();
+        let missing = missing.filter(|(_, slot)| slot.part.is_none());
+        missing.map(|(ix, slot)| {
+            let waits = !slot.open.is_empty();
+            let cause = slot.cause.filter(|_| !waits);
+            (ix, cause.unwrap_or(Cause::Late))
+        })
     }
 
     /// Sends the first calls.
@@ -330,6 +370,7 @@
         let slot = &mut self.slots[ix];
         let call = self.calls.len();
         self.calls.push(ix);
+        self.hedges += usize::from(reason == Reason::Hedge);
         slot.tried.push(Arc::clone(&target.entry.id));
         slot.hedge_at = None;
         if self.plan.repeat == Repeat::Idempotent && reason != Reason::Hedge {
