--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,6 +18,7 @@
 use heatherrun_ports::serving::Serving;
 use heatherrun_report::plugins;
 use heatherrun_schema::v1::{GatewaySettings, NodeSettings};
+use stop::Signals;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -75,10 +76,11 @@
     };
     let runtime = runtime.enable_all().build().context("no runtime")?;
     let ended = runtime.block_on(async {
+        let signals = Signals::new()?;
         tokio::spawn(logging::tell_dropped());
         match settings.gateway.clone() {
-            Some(gateway) => run_gateway(path, settings, gateway).await,
-            None => run_tier(settings).await,
+            Some(gateway) => run_gateway(path, settings, gateway, signals).await,
+            None => run_tier(settings, signals).await,
         }
     });
     log::logger().flush();
@@ -89,6 +91,7 @@
     path: &Path,
     settings: NodeSettings,
     own: GatewaySettings,
+    signals: Signals,
 ) -> anyhow::Result<u8> {
     let hangups = signal(SignalKind::hangup())?;
     let gateway = Gateway::start(&settings, &own).await?;
@@ -102,10 +105,11 @@
         "gateway.started"
     );
     let begun = std::future::pending();
-    stop::wait(begun, settings.stop_secs, |limit| gateway.stop(limit)).await
+    let stop = |limit| gateway.stop(limit);
+    Ok(stop::wait(signals, begun, settings.stop_secs, stop).await)
 }
 
-async fn run_tier(settings: NodeSettings) -> anyhow::Result<u8> {
+async fn run_tier(settings: NodeSettings, signals: Signals) -> anyhow::Result<u8> {
     let (node, serving) = serve::start(&settings).await?;
     log::info!(
         domain = settings.domain.as_str(), callers = settings.callers.as_str(),
@@ -117,5 +121,6 @@
         tokio::spawn(metrics::run(Arc::clone(&node), address));
     }
     let begun = Serving::stop_begun(node);
-    stop::wait(begun, settings.stop_secs, |limit| serving.stop(limit)).await
+    let stop = |limit| serving.stop(limit);
+    Ok(stop::wait(signals, begun, settings.stop_secs, stop).await)
 }
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -19,13 +19,18 @@
 const STOP_TIME: Duration = Duration::from_mins(1);
 
 /// The signals that begin a planned stop.
-struct Signals {
+pub struct Signals {
     terminate: Signal,
     interrupt: Signal,
 }
 
 impl Signals {
-    fn new() -> std::io::Result<Self> {
+    /// Receives signals from now on; one that comes while the node still
+    /// starts stops it as planned, too.
+    ///
+    /// # Errors
+    /// When signals cannot be received.
+    pub fn new() -> std::io::Result<Self> {
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
@@ -44,15 +49,12 @@
 /// Waits until a signal or `begun` begins a planned stop, runs `stop` within
 /// `stop_secs`, and returns the exit code. `stop` tells whether nothing was
 /// left to cut.
-///
-/// # Errors
-/// When signals cannot be received.
 pub async fn wait<F: Future<Output = bool>>(
+    mut signals: Signals,
     begun: impl Future<Output = ()>,
     stop_secs: u32,
     stop: impl FnOnce(Duration) -> F,
-) -> anyhow::Result<u8> {
-    let mut signals = Signals::new()?;
+) -> u8 {
     tokio::select! {
         biased;
         () = signals.next() => log::info!(cause = "signal"; "stop.asked"),
@@ -68,5 +70,5 @@
         () = signals.next() => SECOND_SIGNAL,
     };
     log::info!(code; "stop.ended");
-    Ok(code)
+    code
 }
