A planned stop answers what it cannot wait for, and idle connections cut nothing

Ruled out: an open request (no request.failed line in the stop's time). Change: a stop tells open requests when to end (92% of its time), so that each gets its answer; a closing server waits 250 ms for idle peers, not 1 s.

--- /dev/null
+++ b/crates/daemon/tests/soak/breaks.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# Breaks one promise after the other on purpose, in a copy of the checkout, and
+# shows that the soak finds each of them. FOLDER keeps the copy's build.
+set -euo pipefail
+cd "$(git rev-parse --show-toplevel)"
+folder="${1:?usage: breaks.sh FOLDER}"
+git worktree add --force --detach "$folder/tree" HEAD >/dev/null
+trap 'git worktree remove --force "$folder/tree"' EXIT
+cd "$folder/tree"
+export CARGO_TARGET_DIR="$folder/target" SOAK_SEEDS="${SOAK_SEEDS:-2..30}"
+
+# promise, file, and the change that breaks it
+breaks=(
+    'twice|crates/routing/src/scatter.rs|s/Repeat::Once => slot.ran == 0 && open == 0,/Repeat::Once => true,/'
+    'refused|crates/gateway/src/serve.rs|s/        if not_run {$/        if not_run || self.records.is_none() {/'
+    'lost|crates/gateway/src/gateway.rs|s/tokio::time::timeout_at(end, self.callers).await.is_ok()/{ let _ = end; self.callers.abort(); true }/'
+    'mixed|crates/routing/src/merge.rs|s/truncate(/truncate(1 + /'
+    'drain|crates/routing/src/target.rs|s/        !self.draining.load(Ordering::Relaxed) && /        /'
+    'stop|crates/ports/src/http_server.rs|s/CLOSING_LINGER: Duration = Duration::from_millis(250)/CLOSING_LINGER: Duration = Duration::from_secs(2)/'
+)
+missed=0
+for entry in "${breaks[@]}"; do
+    IFS='|' read -r promise file change <<<"${entry/&&/@@}"
+    change="${change/@@/\\&\\&}"
+    sed -i "$change" "$file"
+    if git diff --quiet; then
+        echo "$promise: the change fits nothing in $file"
+        missed=1
+        continue
+    fi
+    if found=$(cargo test --locked -p heatherrun-daemon --test soak -- --nocapture 2>&1); then
+        echo "$promise: NOT FOUND in seeds $SOAK_SEEDS"
+        missed=1
+    elif grep -q "^    \"$promise:" <<<"$found"; then
+        grep -m1 "^    \"$promise:" <<<"$found" | sed "s/^ */$promise: found, /"
+    else
+        echo "$promise: another failure: $(grep -m1 -E '^error|^    "' <<<"$found")"
+        missed=1
+    fi
+    git checkout --quiet "$file"
+done
+exit "$missed"
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,11 @@
 /// callers keep the address for a while.
 const SERVE_PERCENT: u32 = 70;
 
+/// Part of the stop's time after which requests that are still open are
+/// answered with what there is: the rest is for their way back. A searcher that
+/// is at work for that long may be left, by the users' pages.
+const ANSWER_PERCENT: u32 = 92;
+
 /// A node that serves.
 pub struct Gateway {
     state: Arc<State>,
@@ -157,7 +162,8 @@
     /// when `limit` passed first, so that a request may be cut.
     pub async fn stop(self, limit: Duration) -> bool {
         let end = tokio::time::Instant::now() + limit;
-        self.state.begin_stop();
+        let last = limit * ANSWER_PERCENT / 100;
+        self.state.begin_stop(self.state.clock.now() + last);
         self.phase.send_replace(Phase::Leave);
         tokio::time::sleep(limit * SERVE_PERCENT / 100).await;
         log::info!("stop.closing");
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -144,6 +144,10 @@
         let mut scatter = Scatter::new(self.plan.clone(), self.shards.len());
         let mut calls = FuturesUnordered::new();
         let mut replies: Vec<Option<Response<Bytes>>> = Vec::with_capacity(self.shards.len());
+        let mut stop = state.stop_end();
+        if let Some(end) = *stop.borrow_and_update() {
+            scatter.end_by(end);
+        }
         let mut sends = self.decide(|cx| scatter.start(now, cx));
         let verdict = loop {
             for send in sends.drain(..) {
@@ -162,6 +166,11 @@
                     let now = state.clock.now();
                     sends = self.decide(|cx| scatter.ended(now, call, end, cx));
                 }
+                Ok(()) = stop.changed() => {
+                    if let Some(end) = *stop.borrow_and_update() {
+                        scatter.end_by(end);
+                    }
+                }
                 () = state.clock.sleep_until(wake) => {
                     let now = state.clock.now();
                     sends = self.decide(|cx| scatter.tick(now, cx));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,10 +3,7 @@
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -25,6 +22,7 @@
 use heatherrun_routing::target::{Distance, Place};
 
 use tokio::sync::mpsc::Receiver;
+use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::crashes::Crashes;
@@ -90,7 +88,9 @@
     pub metrics: Metrics,
     /// Bounds of lines about single requests.
     pub throttle: Throttle,
-    stopping: AtomicBool,
+    /// When the last requests get their answers, once the planned stop has
+    /// begun.
+    stop_end: watch::Sender<Option<Time>>,
     /// This node's parts of what all nodes share.
     pub shares: ArcSwap<Shares>,
     inner: Mutex<Inner>,
@@ -121,7 +121,7 @@
             crashes,
             metrics: Metrics::default(),
             throttle: Throttle::default(),
-            stopping: AtomicBool::new(false),
+            stop_end: watch::Sender::new(None),
             shares: ArcSwap::default(),
             inner: Mutex::default(),
         });
@@ -135,12 +135,19 @@
     /// Whether the planned stop has begun.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop_end.borrow().is_some()
     }
 
-    /// Begins the planned stop.
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Begins the planned stop: requests that are still open at `end` get
+    /// their answers then.
+    pub fn begin_stop(&self, end: Time) {
+        self.stop_end.send_replace(Some(end));
+    }
+
+    /// Tells when the planned stop begins, and when it ends requests.
+    #[must_use]
+    pub fn stop_end(&self) -> watch::Receiver<Option<Time>> {
+        self.stop_end.subscribe()
     }
 
     /// Whether callers may be sent here.
--- a/crates/ports/src/http_server.rs
+++ b/crates/ports/src/http_server.rs
@@ -37,6 +37,11 @@
 /// Wait for the first request of a connection accepted as the port closes.
 const FIRST_TIME: Duration = Duration::from_secs(1);
 
+/// Longest wait for a peer that still sends after the last response, while the
+/// server closes: a response is on its way for some tens of milliseconds, and
+/// an idle peer must not take the rest of a stop's time.
+const CLOSING_LINGER: Duration = Duration::from_millis(250);
+
 /// Pause after a failed accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -204,7 +209,14 @@
     if ended.is_err_and(|e| e.is_timeout()) && !parts.read_buf.is_empty() {
         io.refuse(Fault::SlowHead).await;
     }
-    io.linger().await;
+    let closing = async {
+        let _ = phase.wait_for(|p| *p == Phase::Close).await;
+        tokio::time::sleep(CLOSING_LINGER).await;
+    };
+    tokio::select! {
+        () = io.linger() => {}
+        () = closing => {}
+    }
     drop(place);
 }
 
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -222,6 +222,14 @@
         }
     }
 
+    /// Ends the request at `end` if it would last longer.
+    pub fn end_by(&mut self, end: Time) {
+        let plan = &mut self.plan;
+        plan.end = plan.end.min(end);
+        plan.answer_by = plan.answer_by.min(end);
+        plan.room_by = plan.room_by.min(end);
+    }
+
     /// Calls sent so far.
     #[must_use]
     pub const fn calls(&self) -> usize {
