--- a/crates/daemon/tests/soak/breaks.sh
+++ b/crates/daemon/tests/soak/breaks.sh
@@ -11,17 +11,16 @@
 
 # promise, file, and the change that breaks it
 breaks=(
-    'twice|crates/routing/src/scatter.rs|s/Repeat::Once => slot.ran == 0 && open == 0,/Repeat::Once => true,/'
+    'twice|crates/routing/src/scatter.rs|s/Repeat::Once => slot.ran == 0 .. open == 0,/Repeat::Once => true,/'
     'refused|crates/gateway/src/serve.rs|s/        if not_run {$/        if not_run || self.records.is_none() {/'
     'lost|crates/gateway/src/gateway.rs|s/tokio::time::timeout_at(end, self.callers).await.is_ok()/{ let _ = end; self.callers.abort(); true }/'
     'mixed|crates/routing/src/merge.rs|s/truncate(/truncate(1 + /'
-    'drain|crates/routing/src/target.rs|s/        !self.draining.load(Ordering::Relaxed) && /        /'
+    'drain|crates/routing/src/target.rs|s/        !self.draining.load(Ordering::Relaxed) .. /        /'
     'stop|crates/ports/src/http_server.rs|s/CLOSING_LINGER: Duration = Duration::from_millis(250)/CLOSING_LINGER: Duration = Duration::from_secs(2)/'
 )
 missed=0
 for entry in "${breaks[@]}"; do
-    IFS='|' read -r promise file change <<<"${entry/&&/@@}"
-    change="${change/@@/\\&\\&}"
+    IFS='|' read -r promise file change <<<"$entry"
     sed -i "$change" "$file"
     if git diff --quiet; then
         echo "$promise: the change fits nothing in $file"
--- a/crates/routing/src/crashers.rs
+++ b/crates/routing/src/crashers.rs
@@ -2,8 +2,9 @@
 //!
 //! A lost connection alone says little: answers get lost, and targets end for
 //! other reasons. A loss becomes a mark once its target is known to have
-//! ended, and a success of the same request takes its marks back: a request
-//! that crashes its targets never succeeds.
+//! ended and has answered nothing since the loss. A success of the same
+//! request takes its marks back: a request that crashes its targets never
+//! succeeds.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -22,6 +23,9 @@
 /// lapses after some 3.6 s of silence and is read within 2 s more.
 const EXPLAINED: Duration = Duration::from_secs(6);
 
+/// Replies that came in before a crash are read within this time after it.
+const STILL_READ: Duration = Duration::from_millis(20);
+
 /// Losses kept; the oldest goes first.
 const MOST_LOSSES: usize = 1_000;
 
@@ -78,6 +82,7 @@
 
     /// Notes that `target` ended; the marks are for all nodes.
     pub fn ended(&mut self, now: Time, target: &Target) -> Vec<Suspicion> {
+        let last_reply = target.replied_at();
         let target = incarnation(target);
         let mut told = Vec::new();
         self.losses.retain(|loss| {
@@ -87,7 +92,10 @@
             if loss.target != target {
                 return true;
             }
-            told.push(suspicion(loss));
+            let lived_on = last_reply > loss.at + STILL_READ;
+            if !lived_on {
+                told.push(suspicion(loss));
+            }
             false
         });
         told.retain(|suspicion| self.marks.note(now, *suspicion));
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -219,6 +219,12 @@
         age < REPORT_TIME && self.busy() >= u32::from(self.entry.slots) * QUEUEING
     }
 
+    /// When it last answered a call; zero when it never did.
+    #[must_use]
+    pub fn replied_at(&self) -> Time {
+        Time(self.replied.load(Ordering::Relaxed))
+    }
+
     /// Notes a call on its way.
     pub fn sent(&self, now: Time) {
         self.tried_at.store(now.0, Ordering::Relaxed);
--- a/crates/routing/tests/crashers.rs
+++ b/crates/routing/tests/crashers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{at, target};
+use common::{at, ms, target};
 use heatherrun_kernel::{CallId, QueryId};
 use heatherrun_routing::crashers::Crashers;
 use heatherrun_routing::target::Distance;
@@ -44,6 +44,20 @@
     assert!(!crashers.is_banned(at(8_000), PRINT));
 }
 
+#[test]
+fn crashers_target_that_answered_after_the_loss_did_not_crash() {
+    // Answers of all searchers are lost for a while; then the searchers are
+    // replaced.
+    let mut crashers = Crashers::default();
+    for n in 0..5 {
+        let target = target(&format!("i-{n}"), Distance::Region);
+        crashers.lost(at(n), PRINT, &target, call(n));
+        target.replied(at(500), ms(10), None);
+        assert!(crashers.ended(at(3_000), &target).is_empty());
+    }
+    assert!(!crashers.is_banned(at(3_000), PRINT));
+}
+
 #[test]
 fn crashers_several_losses_at_one_target_are_one_crash() {
     let mut crashers = Crashers::default();
