--- a/crates/report/src/story.rs
+++ b/crates/report/src/story.rs
@@ -123,7 +123,9 @@
 }
 
 fn line(text: &str) -> Option<Line<'_>> {
-    let mut rest = &text[text.find("event=")?..];
+    // A line that was cut and runs into the next one names two events; the
+    // last one is whole.
+    let mut rest = &text[text.rfind("event=")?..];
     let mut pairs = Vec::new();
     while let Some((key, value, after)) = pair(rest) {
         pairs.push((key, value));
--- a/crates/report/tests/story.rs
+++ b/crates/report/tests/story.rs
@@ -11,6 +11,7 @@
 event=request.partial time=100.640 level=info vm=front-1 id=c9 route=r-a version=2 shards=10 calls=12 hedges=2 missing="s3:lost,s4:late,s7:late" took_us=67239
 event=request.failed time=100.700 level=info vm=front-1 id=d1 route=r-b version=2 shards=1 calls=1 hedges=0 missing=one:no-room not_run=true cause=no-room left_us=1485000 took_us=16000
 not a line of ours
+event=node.live time=100.1 level=info vm=front-3 node=front-9 revevent=store.lost time=99.0 level=warn vm=front-1 reason="no answer"
 event=item.unreadable time=1.0 level=warn vm=front-1 key="servers/\"x\"" why="no service = none"
 "#;
 
@@ -40,7 +41,11 @@
     let around: Vec<_> = story.around.iter().map(|s| (&*s.vm, &*s.event)).collect();
     assert_eq!(
         around,
-        [("front-1", "config.in-force"), ("front-2", "target.lapsed")]
+        [
+            ("front-1", "config.in-force"),
+            ("front-1", "store.lost"),
+            ("front-2", "target.lapsed"),
+        ]
     );
 }
 
