A request banned for crashes is tried again by one node each 30 s

Cause: three marks of a request whose searchers ended for reasons of their own (all searchers of a service at once, and the same path several times in flight) banned it for ten minutes, as nothing could bring the success that clears it. Change: the live node that ranks first for the fingerprint lets one request through after each 30 s; Retry-After says so.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -49,9 +49,14 @@
         self.any.load(Ordering::Relaxed)
     }
 
-    /// Whether the request must not be sent to any target.
-    pub fn is_banned(&self, now: Time, print: impl Fn() -> u64) -> bool {
-        self.has_any() && self.lock().is_banned(now, print())
+    /// Whether the request must not be sent to any target now; `tries` says
+    /// whether this node is the one that tries banned requests.
+    pub fn refuses(&self, now: Time, print: impl Fn() -> u64, tries: impl Fn(u64) -> bool) -> bool {
+        if !self.has_any() {
+            return false;
+        }
+        let print = print();
+        self.lock().refuses(now, print, tries(print))
     }
 
     /// Notes that the connection of a call to `target` was lost.
@@ -74,8 +79,7 @@
         let told = self.lock().ended(now, target);
         for suspicion in told {
             let (print, id) = (suspicion.print, &*target.entry.id);
-            let banned = self.lock().is_banned(now, print);
-            log::warn!(print, target = id, banned; "request.crashed-target");
+            log::warn!(print, target = id; "request.crashed-target");
             self.pass_on(suspicion);
         }
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -7,10 +7,10 @@
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Destination, Name, Route};
 use heatherrun_kernel::time::micros;
-use heatherrun_policy::marks;
 use heatherrun_ports::http_reply::{Fault, Reply, plain};
 use heatherrun_ports::http_server::Received;
 use heatherrun_routing::choice::{self, Choice, Choices};
+use heatherrun_routing::crashers;
 use heatherrun_routing::fleet::Services;
 use heatherrun_routing::plan::Plan;
 use heatherrun_routing::scatter::{CallIx, Cause, Chosen, Context, Scatter, Send, SlotIx, Verdict};
@@ -35,9 +35,9 @@
 /// When callers come again that no target could take.
 const AGAIN_REFUSED: Duration = Duration::from_millis(150);
 
-/// When callers come again whose request crashes its targets: its marks last
-/// that long.
-const AGAIN_BANNED: Duration = marks::EXPIRY;
+/// When callers come again whose request crashes its targets: it is tried
+/// again then.
+const AGAIN_BANNED: Duration = crashers::TRIAL_TIME;
 
 /// Shards without a part that one log line names.
 const MOST_NAMED: usize = 12;
@@ -68,7 +68,8 @@
         return plain(StatusCode::NOT_FOUND, "no route for this host and path");
     };
     let print = || crashes::print(&received.head.method, uri, &received.body);
-    if state.crashes.is_banned(start, print) {
+    let tries = |print| state.tries_banned(print);
+    if state.crashes.refuses(start, print, tries) {
         state.metrics.turned_away("crashes-targets");
         let (route, print) = (&*route.name, print());
         if state.throttle.allows(start, Kind::Turned) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,7 +23,7 @@
 
 use tokio::sync::mpsc::Receiver;
 use tokio::sync::watch;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::crashes::Crashes;
 use crate::metrics::Metrics;
@@ -272,6 +272,15 @@
         self.table.store(Some(Arc::new(table)));
     }
 
+    /// Whether this node, among the live ones, tries a request of this
+    /// fingerprint that is banned for crashes.
+    pub fn tries_banned(&self, print: u64) -> bool {
+        let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), print);
+        let mine = rank(&self.me.name);
+        let nodes = self.nodes.load();
+        nodes.iter().all(|node| rank(&node.name) >= mine)
+    }
+
     /// Changes the failure domains that are taken out.
     fn change_out(&self, change: impl FnOnce(&mut HashSet<Name>) -> bool) {
         let mut out = HashSet::clone(&self.out.load());
--- a/crates/policy/src/marks.rs
+++ b/crates/policy/src/marks.rs
@@ -9,7 +9,7 @@
 pub const MARKS: usize = 2;
 
 /// Time that a mark counts.
-pub const EXPIRY: Duration = Duration::from_mins(10);
+const EXPIRY: Duration = Duration::from_mins(10);
 
 /// Losses of calls on one target within this time are one crash.
 const ONE_CRASH: Duration = Duration::from_secs(2);
--- a/crates/routing/src/crashers.rs
+++ b/crates/routing/src/crashers.rs
@@ -6,7 +6,10 @@
 //! request takes its marks back: a request that crashes its targets never
 //! succeeds.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use heatherrun_kernel::control::Suspicion;
 use heatherrun_kernel::{CallId, ShardIx, TargetId, Time};
@@ -26,6 +29,10 @@
 /// Replies that came in before a crash are read within this time after it.
 const STILL_READ: Duration = Duration::from_millis(20);
 
+/// Time between two trials of a banned request. The users' pages let three
+/// more of it reach searchers; a day of theirs takes a minute.
+pub const TRIAL_TIME: Duration = Duration::from_secs(30);
+
 /// Losses kept; the oldest goes first.
 const MOST_LOSSES: usize = 1_000;
 
@@ -43,6 +50,8 @@
 pub struct Crashers {
     marks: Marks,
     losses: VecDeque<Loss>,
+    /// Banned requests, and since when they are refused without a trial.
+    refused: HashMap<u64, Time>,
 }
 
 impl Default for Crashers {
@@ -50,6 +59,7 @@
         Self {
             marks: Marks::new(MOST_CRASHES),
             losses: VecDeque::new(),
+            refused: HashMap::new(),
         }
     }
 }
@@ -61,10 +71,23 @@
         self.marks.is_empty() && self.losses.is_empty()
     }
 
-    /// Whether the request must not be sent to any target.
-    #[must_use]
-    pub fn is_banned(&self, now: Time, print: u64) -> bool {
-        self.marks.level(now, print) == Level::Banned
+    /// Whether the request must not be sent to any target now. The one node
+    /// that tries banned requests lets one through after each
+    /// [`TRIAL_TIME`]: targets may have ended for a reason of their own, and
+    /// the ban ends with a success.
+    pub fn refuses(&mut self, now: Time, print: u64, tries: bool) -> bool {
+        if self.marks.level(now, print) != Level::Banned {
+            return false;
+        }
+        if self.refused.len() >= MOST_LOSSES {
+            self.refused.clear();
+        }
+        let since = self.refused.entry(print).or_insert(now);
+        if !tries || now.since(*since) < TRIAL_TIME {
+            return true;
+        }
+        *since = now;
+        false
     }
 
     /// Notes that the connection of a call to `target` was lost.
