--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -59,11 +59,13 @@
     let uri = &received.head.uri;
     let host = received.head.headers.get(header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).or_else(|| uri.host());
+    let id = (state.site.caller)(&received.head.headers).id;
+    let id = id.unwrap_or_default();
     let Some(route) = table.route(host.unwrap_or_default(), uri.path()) else {
         let (host, path) = (host.unwrap_or_default(), uri.path());
         state.metrics.turned_away("no-route");
         if state.throttle.allows(start, Kind::Turned) {
-            log::info!(host, path, version = table.config().version; "request.no-route");
+            log::info!(id, host, path, version = table.config().version; "request.no-route");
         }
         return plain(StatusCode::NOT_FOUND, "no route for this host and path");
     };
@@ -73,7 +75,7 @@
         state.metrics.turned_away("crashes-targets");
         let (route, print) = (&*route.name, print());
         if state.throttle.allows(start, Kind::Turned) {
-            log::info!(route, print; "request.banned");
+            log::info!(id, route, print; "request.banned");
         }
         return reply::not_run("the request crashes its targets", AGAIN_BANNED);
     }
--- a/crates/report/src/story.rs
+++ b/crates/report/src/story.rs
@@ -16,12 +16,16 @@
 const MOST_AROUND: usize = 40;
 
 /// Last lines of a request, and the outcome that each tells.
-const OUTCOMES: [(&str, &str); 6] = [
+const OUTCOMES: [(&str, &str); 7] = [
     ("request.answered", "answered"),
     ("request.partial", "answered without some shards"),
     ("request.failed", "not answered"),
     ("request.refused", "refused"),
     ("request.rejected", "rejected: the caller's fault"),
+    (
+        "request.no-route",
+        "refused: no route for its host and path",
+    ),
     ("request.banned", "refused: it crashes its targets"),
 ];
 
--- a/crates/routing/src/crashers.rs
+++ b/crates/routing/src/crashers.rs
@@ -33,8 +33,9 @@
 /// more of it reach searchers; a day of theirs takes a minute.
 pub const TRIAL_TIME: Duration = Duration::from_secs(30);
 
-/// Losses kept; the oldest goes first.
-const MOST_LOSSES: usize = 1_000;
+/// Losses, and banned requests, kept at the most; of losses the oldest goes
+/// first.
+const MOST_KEPT: usize = 1_000;
 
 /// One call whose connection was lost while it ran.
 #[derive(Clone, Copy, Debug)]
@@ -65,12 +66,6 @@
 }
 
 impl Crashers {
-    /// Whether nothing is known of any request.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.marks.is_empty() && self.losses.is_empty()
-    }
-
     /// Whether the request must not be sent to any target now. The one node
     /// that tries banned requests lets one through after each
     /// [`TRIAL_TIME`]: targets may have ended for a reason of their own, and
@@ -79,7 +74,7 @@
         if self.marks.level(now, print) != Level::Banned {
             return false;
         }
-        if self.refused.len() >= MOST_LOSSES {
+        if self.refused.len() >= MOST_KEPT {
             self.refused.clear();
         }
         let since = self.refused.entry(print).or_insert(now);
@@ -92,7 +87,7 @@
 
     /// Notes that the connection of a call to `target` was lost.
     pub fn lost(&mut self, now: Time, print: u64, target: &Target, call: CallId) {
-        while self.losses.len() >= MOST_LOSSES {
+        while self.losses.len() >= MOST_KEPT {
             self.losses.pop_front();
         }
         self.losses.push_back(Loss {
