A store that comes back from a copy: eras order all facts

Cause: the platform's store may come back from a copy some seconds old. Revisions are then assigned again, and a node that only compares revisions would keep items of both histories, bring back a searcher that had left, or take what the copy lacks for departures.

A position is (era, revision); feeds and relayed changes are ordered by it, an earlier era is ignored, a later one replaces all items. Deletions are remembered with their revisions, so an older write that arrives late brings nothing back; ended incarnations are remembered with their last report. What the copy lacks counts as before for a grace: searchers 2.2 s, domains taken out and nodes 5 s. A node renews no lease of an earlier era, and deletes its own entry at a stop instead of revoking a lease that may be another's by then. The first listing, which may be seconds old, is used only together with the changes since.

--- a/crates/fakes/src/mesh.rs
+++ b/crates/fakes/src/mesh.rs
@@ -312,10 +312,10 @@
                 async move {
                     if lock(&links).cut.contains(&(from, None)) {
                         tokio::time::sleep(ANSWER).await;
-                        return Err(StoreError::NoAnswer);
+                        return Err(StoreError::NoAnswer).into();
                     }
                     tokio::time::sleep(DELAY).await;
-                    store.call(call).await
+                    store.answer(call).await
                 }
             }),
         }
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -6,10 +6,10 @@
     time::Duration,
 };
 
-use heatherrun_kernel::Revision;
 use heatherrun_kernel::port::{
-    KeyValue, Platform, StoreCall, StoreError, StoreReply, Vm, async_fn,
+    KeyValue, Platform, StoreAnswer, StoreCall, StoreError, StoreReply, Vm, async_fn,
 };
+use heatherrun_kernel::{Era, Revision};
 use serde::Deserialize;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -63,8 +63,17 @@
     pub refused: u64,
 }
 
+/// Content of the store at one moment.
+#[derive(Clone)]
+pub struct Copied {
+    revision: u64,
+    keys: BTreeMap<String, Entry>,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+}
+
 #[derive(Default)]
 struct State {
+    era: Era,
     revision: u64,
     counts: Counts,
     faults: Faults,
@@ -140,11 +149,45 @@
         Platform {
             call: async_fn(move |call| {
                 let store = store.clone();
-                async move { store.call(call).await }
+                async move { store.answer(call).await }
             }),
         }
     }
 
+    /// Makes one call; also tells the era of the store that answered it.
+    pub async fn answer(&self, call: StoreCall) -> StoreAnswer {
+        let era = self.lock().era;
+        let result = self.call(call).await;
+        if self.lock().era != era {
+            // The restore cuts the connections of waiting calls.
+            return Err(StoreError::NoAnswer).into();
+        }
+        StoreAnswer { era, result }
+    }
+
+    /// Copies the content of the store.
+    #[must_use]
+    pub fn copy(&self) -> Copied {
+        let state = self.lock();
+        Copied {
+            revision: state.revision,
+            keys: state.keys.clone(),
+            leases: state.leases.clone(),
+        }
+    }
+
+    /// Comes back from a copy: what was written since is gone, revisions are
+    /// given out again, and the era rises by one.
+    pub fn restore(&self, copied: Copied) {
+        let mut state = self.lock();
+        state.revision = copied.revision;
+        state.keys = copied.keys;
+        state.leases = copied.leases;
+        state.era.0 += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Makes one call.
     ///
     /// # Errors
@@ -191,7 +234,7 @@
             if faults.down {
                 return Err(StoreError::NoAnswer);
             }
-            if faults.forgets {
+            if faults.forgets || self.lock().revision < after.0 {
                 return Err(StoreError::Forgotten);
             }
             if let StoreReply::Changes(keys, _) = &found
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use heatherrun_kernel::Revision;
-use heatherrun_kernel::port::{Platform, StoreCall, StoreError, StoreReply};
+use heatherrun_kernel::port::{Platform, StoreAnswer, StoreCall, StoreError, StoreReply};
+use heatherrun_kernel::{Era, Revision};
 
 use crate::state::State;
 
@@ -29,8 +29,18 @@
 pub struct Registration {
     state: Arc<State>,
     platform: Platform,
-    /// Lease of the entry; zero while not registered.
+    /// The entry in the store; none while not registered.
+    entry: Option<StoredEntry>,
+}
+
+/// The entry of this node as it was written to the store.
+#[derive(Clone, Copy, Debug)]
+struct StoredEntry {
+    /// Era in which it was written; in a later one the store may assign its
+    /// lease to another node.
+    era: Era,
     lease: u64,
+    revision: Revision,
 }
 
 impl Registration {
@@ -40,12 +50,12 @@
         Self {
             state,
             platform,
-            lease: 0,
+            entry: None,
         }
     }
 
     /// Registers the node once it is ready, keeps it registered until it
-    /// stops, and then revokes the lease.
+    /// stops, and then deletes its entry.
     pub async fn run(mut self) {
         let mut registered_at = self.state.clock.now();
         let mut retry_delay = MIN_RETRY_DELAY;
@@ -58,13 +68,14 @@
                 continue;
             }
             let now = self.state.clock.now();
-            let entry_lost =
-                self.lease != 0 && now.since(registered_at) > LISTING_TIMEOUT && !self.is_listed();
-            let result = if self.lease == 0 || entry_lost {
+            let is_unlisted = now.since(registered_at) > LISTING_TIMEOUT && !self.is_listed();
+            let era = self.state.position().era;
+            let current = self.entry.filter(|e| e.era >= era && !is_unlisted);
+            let result = if let Some(entry) = current {
+                self.renew(entry).await
+            } else {
                 registered_at = now;
                 self.register().await
-            } else {
-                self.renew().await
             };
             match result {
                 Ok(()) => {
@@ -78,14 +89,31 @@
                 }
             }
         }
-        if self.lease != 0 {
-            let call = StoreCall::Revoke { lease: self.lease };
-            if let Err(error) = (self.platform.call)(call).await {
-                log::info!(reason:% = error; "member.not-revoked");
-            }
+        self.deregister().await;
+    }
+
+    /// Deletes the entry of this node unless another process wrote it anew. Its
+    /// lease is left to expire: in a later era it may be another node's.
+    async fn deregister(&self) {
+        let Some(entry) = self.entry else { return };
+        let call = StoreCall::Swap {
+            key: self.key(),
+            expect: entry.revision,
+            value: None,
+            lease: 0,
+        };
+        if let Err(error) = (self.platform.call)(call).await.result {
+            log::info!(reason:% = error; "member.not-removed");
         }
     }
 
+    fn key(&self) -> String {
+        format!(
+            "{}{}",
+            self.state.site.node_prefix, self.state.own_entry.name
+        )
+    }
+
     /// Sleeps for `duration`, but returns early once the node stops.
     async fn sleep_unless_stopping(&self, duration: Duration) {
         let end = self.state.clock.now() + duration;
@@ -104,14 +132,14 @@
     }
 
     async fn register(&mut self) -> Result<(), StoreError> {
-        self.lease = 0;
+        self.entry = None;
         let grant = StoreCall::Grant { ttl: LEASE_TTL };
-        let StoreReply::Lease(lease) = (self.platform.call)(grant).await? else {
+        let StoreAnswer { era, result } = (self.platform.call)(grant).await;
+        let StoreReply::Lease(lease) = result? else {
             return Err(StoreError::NoAnswer);
         };
-        let own_entry = &self.state.own_entry;
-        let key = format!("{}{}", self.state.site.node_prefix, own_entry.name);
-        let value = serde_json::to_vec(own_entry).map_err(|_| StoreError::TooLarge)?;
+        let key = self.key();
+        let value = serde_json::to_vec(&self.state.own_entry).map_err(|_| StoreError::TooLarge)?;
         let mut expect = Revision(0);
         // The entry of this node's previous process may still exist: the
         // second attempt replaces it.
@@ -122,10 +150,15 @@
                 value: Some(value.clone()),
                 lease,
             };
-            match (self.platform.call)(call).await? {
-                StoreReply::Swapped(revision) => {
-                    self.lease = lease;
-                    log::info!(lease, revision = revision.0; "member.registered");
+            let answer = (self.platform.call)(call).await;
+            match answer.result? {
+                StoreReply::Swapped(revision) if answer.era == era => {
+                    self.entry = Some(StoredEntry {
+                        era,
+                        lease,
+                        revision,
+                    });
+                    log::info!(lease, era = era.0, revision = revision.0; "member.registered");
                     return Ok(());
                 }
                 StoreReply::Conflict(revision) => expect = revision,
@@ -135,10 +168,12 @@
         Err(StoreError::Unavailable)
     }
 
-    async fn renew(&mut self) -> Result<(), StoreError> {
-        let call = StoreCall::Renew { lease: self.lease };
-        if let StoreReply::NoLease = (self.platform.call)(call).await? {
-            log::info!(lease = self.lease; "member.lease-lost");
+    async fn renew(&mut self, entry: StoredEntry) -> Result<(), StoreError> {
+        let call = StoreCall::Renew { lease: entry.lease };
+        let StoreAnswer { era, result } = (self.platform.call)(call).await;
+        let is_lost = matches!(result?, StoreReply::NoLease) || era != entry.era;
+        if is_lost {
+            log::info!(lease = entry.lease, era = era.0, known_era = entry.era.0; "member.lease-lost");
             return self.register().await;
         }
         Ok(())
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use futures::StreamExt;
 use heatherrun_kernel::control::Suspicion;
 use heatherrun_ports::peer::frames;
-use heatherrun_routing::feed::Delta;
+use heatherrun_routing::feed::{Delta, Position};
 use serde::{Deserialize, Serialize};
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
@@ -32,7 +32,7 @@
 /// Reply to [`Relay::changes`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ChangesReply {
-    /// Items that changed after the requested revision.
+    /// Items that changed after the requested position.
     pub delta: Delta,
     /// Time since the replying node last had all changes, in microseconds.
     pub age: u64,
@@ -41,8 +41,8 @@
 /// RPC service of each node for the other nodes.
 #[tarpc::service]
 pub trait Relay {
-    /// Returns the items of the store that changed after a revision.
-    async fn changes(after: u64) -> ChangesReply;
+    /// Returns the items of the store that changed after a position.
+    async fn changes(after: Position) -> ChangesReply;
     /// Reports a request that crashed a target, or that a request was cleared.
     async fn report_suspicion(suspicion: Suspicion);
 }
@@ -53,7 +53,7 @@
 }
 
 impl Relay for RelayServer {
-    async fn changes(self, _: context::Context, after: u64) -> ChangesReply {
+    async fn changes(self, _: context::Context, after: Position) -> ChangesReply {
         let (delta, age) = self.state.changes_since(after);
         ChangesReply {
             delta,
@@ -120,9 +120,13 @@
         self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Requests the changes after a revision from the node at `address`;
+    /// Requests the changes after a position from the node at `address`;
     /// `None` when it does not reply in time.
-    pub async fn fetch_changes(&self, address: SocketAddr, after: u64) -> Option<ChangesReply> {
+    pub async fn fetch_changes(
+        &self,
+        address: SocketAddr,
+        after: Position,
+    ) -> Option<ChangesReply> {
         let result = tokio::time::timeout(REPLY_TIMEOUT, self.call_changes(address, after)).await;
         let reply = result.ok().flatten();
         if reply.is_none() {
@@ -131,7 +135,7 @@
         reply
     }
 
-    async fn call_changes(&self, address: SocketAddr, after: u64) -> Option<ChangesReply> {
+    async fn call_changes(&self, address: SocketAddr, after: Position) -> Option<ChangesReply> {
         let client = self.client(address).await?;
         client.changes(rpc_context(), after).await.ok()
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
 use heatherrun_kernel::{Clock, Time};
 use heatherrun_ports::http_client::Client;
 use heatherrun_routing::extra_calls::ExtraCallLimit;
-use heatherrun_routing::feed::{Delta, Feed, Item};
+use heatherrun_routing::feed::{Delta, Feed, Item, ItemRules, Position};
 use heatherrun_routing::fleet::{Change, Fleet, Services};
 use heatherrun_routing::route_stats::RouteStats;
 use heatherrun_routing::shares::Shares;
@@ -34,6 +34,11 @@
 /// shares of the others must not grow while it may still send calls.
 const DEPARTED_NODE_TTL: Duration = Duration::from_secs(20);
 
+/// Time for which a node or a domain taken out of service counts as before when
+/// the store came back from a copy without it: what was written since the copy
+/// is written again meanwhile.
+const RESTORE_GRACE: Duration = Duration::from_secs(5);
+
 /// Settings that describe the deployment; a reload replaces them.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -61,6 +66,9 @@
     recent_nodes: HashMap<Name, (NodeEntry, Time)>,
     /// Time at which the feed was last known to be complete.
     fresh_at: Time,
+    /// Keys that the copy lacks from which the store came back, with the end of
+    /// their [`RESTORE_GRACE`]; they count as unchanged until then.
+    unconfirmed: HashMap<Arc<str>, Time>,
 }
 
 /// Shared state of one node.
@@ -164,10 +172,10 @@
         !self.is_stopping() && self.route_table.load().is_some()
     }
 
-    /// Revision of the store up to which all changes are applied.
+    /// Position in the store's history up to which all changes are applied.
     #[must_use]
-    pub fn revision(&self) -> u64 {
-        self.lock().feed.revision()
+    pub fn position(&self) -> Position {
+        self.lock().feed.position()
     }
 
     /// Time since this node last had all changes of the store.
@@ -176,9 +184,9 @@
         self.clock.now().since(self.lock().fresh_at)
     }
 
-    /// Changes after a revision, for another node, and the age of the feed.
+    /// Changes after a position, for another node, and the age of the feed.
     #[must_use]
-    pub fn changes_since(&self, after: u64) -> (Delta, Duration) {
+    pub fn changes_since(&self, after: Position) -> (Delta, Duration) {
         let store_view = self.lock();
         let age = self.clock.now().since(store_view.fresh_at);
         (store_view.feed.since(after), age)
@@ -194,12 +202,40 @@
     pub fn apply(&self, delta: Delta, fresh_at: Time) {
         let now = self.clock.now();
         let mut store_view = self.lock();
-        store_view.fresh_at = store_view.fresh_at.max(fresh_at);
-        let items = store_view.feed.apply(delta);
+        let rules = ItemRules {
+            is_minor_change: &|old, new| self.is_minor_change(old, new),
+            stays_deleted: &|item| self.is_target(item),
+        };
+        let (old_position, position) = (store_view.feed.position(), delta.position);
+        let applied = store_view.feed.apply(delta, &rules);
+        if position >= old_position {
+            store_view.fresh_at = store_view.fresh_at.max(fresh_at);
+        }
         let mut targets_changed = store_view.fleet.remove_lapsed(now);
-        for item in &items {
+        if applied.began_era {
+            let missing = applied.changed.iter().filter(|i| i.value.is_none());
+            log::warn!(
+                era = position.era.0, revision = position.revision.0,
+                known_era = old_position.era.0, known_revision = old_position.revision.0,
+                changed = applied.changed.len(), missing = missing.count();
+                "store.restored"
+            );
+            // Entries written since the copy are missing until they are written
+            // again, as after an outage.
+            store_view.fleet.outage_ended(now);
+        }
+        for item in &applied.changed {
+            if applied.began_era && item.value.is_none() && !self.is_target(item) {
+                let until = now + RESTORE_GRACE;
+                store_view.unconfirmed.insert(Arc::clone(&item.key), until);
+                continue;
+            }
+            store_view.unconfirmed.remove(&item.key);
             targets_changed |= self.apply_item(&mut store_view, now, item);
         }
+        for item in take_unconfirmed(&mut store_view, now) {
+            targets_changed |= self.apply_item(&mut store_view, now, &item);
+        }
         if targets_changed {
             self.services.store(Arc::new(store_view.fleet.services()));
         }
@@ -209,6 +245,32 @@
         }
     }
 
+    /// Whether the item is the entry of a target.
+    fn is_target(&self, item: &Item) -> bool {
+        let parsed = (self.site.parse_item)(&item.key, None);
+        matches!(parsed, Ok(StoreItem::TargetRemoved(_)))
+    }
+
+    /// Whether an item only repeats what a target reported before: other nodes
+    /// count the remaining slow start down themselves.
+    fn is_minor_change(&self, old: &Item, new: &Item) -> bool {
+        let target_of = |item: &Item| match (self.site.parse_item)(&item.key, item.value.as_deref())
+        {
+            Ok(StoreItem::Target(entry)) => Some(entry),
+            _ => None,
+        };
+        let (Some(old), Some(new)) = (target_of(old), target_of(new)) else {
+            return false;
+        };
+        let still_cold = new.warmup <= old.warmup && new.warmup.is_zero() == old.warmup.is_zero();
+        let same_rest = TargetEntry {
+            warmup: new.warmup,
+            report_seq: new.report_seq,
+            ..old
+        } == new;
+        still_cold && same_rest
+    }
+
     /// Applies one item of the store; true when the set of targets changed.
     fn apply_item(&self, store_view: &mut StoreView, now: Time, item: &Item) -> bool {
         if let Some(name) = item.key.strip_prefix(self.site.node_prefix) {
@@ -352,6 +414,18 @@
     }
 }
 
+/// Takes the items whose [`RESTORE_GRACE`] ended, as deletions.
+fn take_unconfirmed(store_view: &mut StoreView, now: Time) -> Vec<Item> {
+    let revision = store_view.feed.position().revision.0;
+    let ended = store_view.unconfirmed.extract_if(|_, until| now >= *until);
+    let deletion = |(key, _)| Item {
+        key,
+        revision,
+        value: None,
+    };
+    ended.map(deletion).collect()
+}
+
 /// Applies the entry of a node, or its removal.
 fn apply_node(store_view: &mut StoreView, name: &str, item: &Item) {
     let Some(value) = &item.value else {
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -6,11 +6,11 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use heatherrun_kernel::port::{KeyValue, Platform, StoreCall, StoreError, StoreReply};
+use heatherrun_kernel::port::{KeyValue, Platform, StoreAnswer, StoreCall, StoreError, StoreReply};
 use heatherrun_kernel::routes::NodeEntry;
 use heatherrun_kernel::time::micros;
-use heatherrun_kernel::{Revision, Time};
-use heatherrun_routing::feed::{Delta, Item};
+use heatherrun_kernel::{Era, Time};
+use heatherrun_routing::feed::{Delta, Feed, Item, ItemRules, Position};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::relay::{ChangesReply, PeerClients};
@@ -105,16 +105,10 @@
                 return PEER_REQUEST_INTERVAL;
             }
         }
-        let is_stale = self.state.revision() == 0 || self.state.feed_age() > STORE_FALLBACK_AGE;
-        if (is_reader || is_stale) && self.is_read_due() {
-            let is_first = self.state.revision() == 0;
-            if self.read_store().await {
-                return if is_first {
-                    Duration::ZERO
-                } else {
-                    STORE_READ_INTERVAL
-                };
-            }
+        let is_stale =
+            self.state.position().is_start() || self.state.feed_age() > STORE_FALLBACK_AGE;
+        if (is_reader || is_stale) && self.is_read_due() && self.read_store().await {
+            return STORE_READ_INTERVAL;
         }
         for peer in self.fallback_peers() {
             if self
@@ -182,7 +176,7 @@
         }
         let Some(reply) = self
             .peers
-            .fetch_changes(address, self.state.revision())
+            .fetch_changes(address, self.state.position())
             .await
         else {
             self.unresponsive
@@ -192,7 +186,8 @@
         self.unresponsive.remove(&address);
         let ChangesReply { delta, age } = reply;
         let age = Duration::from_micros(age);
-        if delta.revision == 0 || age > max_age {
+        let is_earlier_era = delta.position.era < self.state.position().era;
+        if delta.position.is_start() || is_earlier_era || age > max_age {
             return false;
         }
         self.apply_changes(delta, sent_at - age);
@@ -201,7 +196,7 @@
 
     /// Applies changes that were complete at `fresh_at`.
     fn apply_changes(&self, delta: Delta, fresh_at: Time) {
-        if self.state.revision() > 0 && self.state.feed_age() > OUTAGE_AGE {
+        if !self.state.position().is_start() && self.state.feed_age() > OUTAGE_AGE {
             log::info!(age_us = micros(self.state.feed_age()); "store.outage-ended");
             self.state.record_outage_end();
         }
@@ -211,14 +206,12 @@
     /// Reads the store and applies its changes; false when the read failed.
     async fn read_store(&mut self) -> bool {
         let sent_at = self.state.clock.now();
-        let revision = self.state.revision();
-        let result = if revision == 0 {
-            // The first listing may be stale: the next round, which follows
-            // without delay, reads the changes since its revision.
-            self.list_all(true).await
+        let position = self.state.position();
+        let result = if position.is_start() {
+            self.read_first().await
         } else {
-            match self.read_changes(revision).await {
-                Err(StoreError::Forgotten) => self.list_all(false).await,
+            match self.read_changes(position).await {
+                Err(StoreError::Forgotten) => self.list_all(position.era, false).await,
                 result => result,
             }
         };
@@ -244,27 +237,60 @@
         }
     }
 
-    async fn read_changes(&self, after: u64) -> Result<Delta, StoreError> {
+    /// Reads all items for the first time. The listing may be seconds old, and
+    /// a target or an operator's order that it shows may be gone since, so it
+    /// is only used together with the changes since.
+    async fn read_first(&self) -> Result<Delta, StoreError> {
+        let listing = self.list_all(Era::default(), true).await?;
+        let changes = match self.read_changes(listing.position).await {
+            Err(StoreError::Forgotten) => {
+                return self.list_all(listing.position.era, false).await;
+            }
+            result => result?,
+        };
+        let mut feed = Feed::default();
+        let rules = ItemRules {
+            is_minor_change: &|_, _| false,
+            stays_deleted: &|_| false,
+        };
+        feed.apply(listing, &rules);
+        feed.apply(changes, &rules);
+        Ok(feed.since(Position::default()))
+    }
+
+    /// Reads the changes after a position. [`StoreError::Forgotten`] also means
+    /// that the store came back from a copy: its revisions are others now.
+    async fn read_changes(&self, after: Position) -> Result<Delta, StoreError> {
         let call = StoreCall::Watch {
             prefix: self.state.site.prefix.to_owned(),
-            after: Revision(after),
+            after: after.revision,
             wait: STORE_WATCH_TIMEOUT,
         };
-        match (self.platform.call)(call).await? {
-            StoreReply::Changes(changes, revision) => Ok(Delta {
-                items: changes.into_iter().map(to_item).collect(),
-                is_complete: false,
-                revision: revision.0,
-            }),
-            _ => Err(StoreError::NoAnswer),
+        let StoreAnswer { era, result } = (self.platform.call)(call).await;
+        let reply = result?;
+        if era > after.era {
+            return Err(StoreError::Forgotten);
+        }
+        let StoreReply::Changes(changes, revision) = reply else {
+            return Err(StoreError::NoAnswer);
+        };
+        if era < after.era {
+            log::warn!(era = era.0, known_era = after.era.0; "store.earlier-era");
+            return Err(StoreError::NoAnswer);
         }
+        Ok(Delta {
+            items: changes.into_iter().map(to_item).collect(),
+            is_complete: false,
+            position: Position { era, revision },
+        })
     }
 
-    /// Lists all items. The pages together are not a snapshot: changes made
-    /// between them are read as changes after the first page's revision.
-    async fn list_all(&self, allow_stale: bool) -> Result<Delta, StoreError> {
+    /// Lists all items, in `known_era` or a later one. The pages together are
+    /// not a snapshot: changes made between them are read as changes after the
+    /// first page's revision.
+    async fn list_all(&self, known_era: Era, allow_stale: bool) -> Result<Delta, StoreError> {
         let mut items = Vec::new();
-        let mut first_revision = None;
+        let mut start = None;
         let mut after = String::new();
         for _ in 0..MAX_LIST_PAGES {
             let call = StoreCall::List {
@@ -272,10 +298,17 @@
                 after: after.clone(),
                 stale: allow_stale,
             };
-            let StoreReply::Page(page, more, revision) = (self.platform.call)(call).await? else {
+            let StoreAnswer { era, result } = (self.platform.call)(call).await;
+            let StoreReply::Page(page, more, revision) = result? else {
                 return Err(StoreError::NoAnswer);
             };
-            let start_revision = *first_revision.get_or_insert(revision.0);
+            let position = *start.get_or_insert(Position { era, revision });
+            if era != position.era || era < known_era {
+                // Pages of two eras, or an answer from before a restore: the
+                // next round lists again.
+                log::warn!(era = era.0, first = position.era.0, known_era = known_era.0; "store.mixed-eras");
+                return Err(StoreError::NoAnswer);
+            }
             if let Some(last) = page.last() {
                 after.clone_from(&last.key);
             }
@@ -285,7 +318,7 @@
                 return Ok(Delta {
                     items,
                     is_complete: true,
-                    revision: start_revision,
+                    position,
                 });
             }
         }
--- a/crates/kernel/src/id.rs
+++ b/crates/kernel/src/id.rs
@@ -97,6 +97,12 @@
     /// Revision of the platform's store; each write increases it.
     Revision(u64)
 }
+ordered_number! {
+    /// Era of the platform's store, which increases each time the store comes
+    /// back from a copy. Revisions of different eras are not comparable. Zero
+    /// when the store reports none.
+    Era(u64)
+}
 ordered_number! {
     /// Epoch of the ownership of a target, or of a leader's lease; a higher one
     /// supersedes all lower ones.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -15,7 +15,9 @@
 pub mod time;
 pub mod view;
 
-pub use id::{CallId, DomainId, Epoch, MapRev, NodeId, Revision, ServiceId, ShardIx, Snapshot};
+pub use id::{
+    CallId, DomainId, Epoch, Era, MapRev, NodeId, Revision, ServiceId, ShardIx, Snapshot,
+};
 pub use id::{ONCE_PARTITIONS, QueryId, TargetId};
 pub use time::{Clock, Time};
 pub use view::{View, ViewCell};
--- a/crates/kernel/src/port.rs
+++ b/crates/kernel/src/port.rs
@@ -8,7 +8,7 @@
 
 use crate::control::{ControlAnswer, ControlRequest};
 use crate::message::{Batch, BatchReply, CallResult, Cancel, Collect, TargetCall, TargetReport};
-use crate::{CallId, Revision, TargetId};
+use crate::{CallId, Era, Revision, TargetId};
 
 /// An asynchronous function, stored as a field of a port.
 pub type AsyncFn<In, Out> = Arc<dyn Fn(In) -> BoxFuture<'static, Out> + Send + Sync>;
@@ -215,9 +215,30 @@
     TooLarge,
 }
 
+/// Outcome of one call to the platform, and the era of the store that it is
+/// from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreAnswer {
+    /// Era of the store when it answered; zero without an answer, or when the
+    /// store has no eras.
+    pub era: Era,
+    /// The reply, or why there is none.
+    pub result: Result<StoreReply, StoreError>,
+}
+
+impl From<Result<StoreReply, StoreError>> for StoreAnswer {
+    /// Answer of a store without eras.
+    fn from(result: Result<StoreReply, StoreError>) -> Self {
+        Self {
+            era: Era::default(),
+            result,
+        }
+    }
+}
+
 /// Port to the platform's key-value service and VM list.
 #[derive(Clone)]
 pub struct Platform {
     /// Executes one call.
-    pub call: AsyncFn<StoreCall, Result<StoreReply, StoreError>>,
+    pub call: AsyncFn<StoreCall, StoreAnswer>,
 }
--- a/crates/matrix/src/net.rs
+++ b/crates/matrix/src/net.rs
@@ -413,7 +413,7 @@
         Platform {
             call: async_fn(move |call| {
                 let net = Arc::clone(&net);
-                async move { net.store_call(from, call).await }
+                async move { net.store_call(from, call).await.into() }
             }),
         }
     }
--- a/crates/ports/src/platform.rs
+++ b/crates/ports/src/platform.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use heatherrun_kernel::port::{Platform, StoreCall, StoreError, StoreReply, async_fn};
+use heatherrun_kernel::port::{Platform, StoreAnswer, StoreCall, StoreError, StoreReply, async_fn};
 use heatherrun_kernel::registry::{Make, Plugin, inventory};
 use http::{Request, StatusCode};
 
@@ -21,7 +21,7 @@
 /// Port to the platform at `address`.
 #[must_use]
 pub fn platform(address: SocketAddr) -> Platform {
-    over_http(move |client, call| exchange(client, address, call))
+    over_http(move |client, call| async move { exchange(client, address, call).await.into() })
 }
 
 /// Platform port that runs `exchange` for each call, with one HTTP client shared
@@ -30,7 +30,7 @@
     exchange: impl Fn(Arc<Client>, StoreCall) -> F + Send + Sync + 'static,
 ) -> Platform
 where
-    F: Future<Output = Result<StoreReply, StoreError>> + Send + 'static,
+    F: Future<Output = StoreAnswer> + Send + 'static,
 {
     let client = Arc::new(Client::default());
     Platform {
--- a/crates/ports/tests/platform.rs
+++ b/crates/ports/tests/platform.rs
@@ -84,7 +84,7 @@
         }
         let call: StoreCall = serde_json::from_slice(&expand(call)).unwrap();
         for (test_store, medium) in stores.iter().zip(["in memory", "over the socket"]) {
-            let actual = outcome(&(test_store.port.call)(call.clone()).await);
+            let actual = outcome(&(test_store.port.call)(call.clone()).await.result);
             if !expected.split("-or-").any(|e| e == actual) {
                 failures.push(format!("{name}: {actual} {medium}"));
             }
@@ -118,14 +118,14 @@
     ];
     for (act, expected) in cases {
         let script = Script::start([act.clone()]).await.unwrap();
-        let result = (platform(script.address).call)(get()).await;
+        let result = (platform(script.address).call)(get()).await.result;
         assert_eq!(outcome(&result), expected, "{act:?}");
     }
     let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = closed.local_addr().unwrap();
     drop(closed);
     assert_eq!(
-        outcome(&(platform(address).call)(get()).await),
+        outcome(&(platform(address).call)(get()).await.result),
         "unavailable"
     );
 }
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -4,7 +4,11 @@
 //! alive. An entry that is missing right after an outage therefore counts as
 //! gone only if it does not come back within [`LAPSE_GRACE`].
 
-use std::{collections::BTreeMap, collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Name, TargetEntry};
@@ -15,6 +19,10 @@
 /// seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Maximum number of ended incarnations that are remembered, so that an older
+/// report which arrives later does not bring them back.
+const MAX_ENDED_INCARNATIONS: usize = 2_000;
+
 /// Targets by service.
 pub type Services = HashMap<Name, Vec<Arc<Target>>>;
 
@@ -39,6 +47,10 @@
     /// Targets whose entries lapsed, with the end of their grace period.
     lapsed: BTreeMap<Name, Time>,
     outage_end: Option<Time>,
+    /// Start and last report of incarnations that ended.
+    ended: HashMap<Name, (u64, u64)>,
+    /// The keys of `ended`, oldest first.
+    ended_order: VecDeque<Name>,
     /// Incarnations that ended and were not returned by [`Fleet::take_ended`]
     /// yet.
     ended_targets: Vec<Arc<Target>>,
@@ -48,6 +60,11 @@
     /// Applies a report of a target located at `location`. A newer incarnation
     /// replaces the known one.
     pub fn apply_report(&mut self, now: Time, entry: TargetEntry, location: Location) -> Change {
+        if let Some((born, report_seq)) = self.ended.get(&entry.id)
+            && (entry.born, entry.report_seq) <= (*born, *report_seq)
+        {
+            return Change::Stale;
+        }
         self.lapsed.remove(&entry.id);
         if let Some(known) = self.targets.get(&entry.id) {
             let old = &known.entry;
@@ -115,10 +132,24 @@
         self.lapsed.remove(id);
         if let Some(target) = self.targets.remove(id) {
             target.set_gone();
+            self.remember_end(&target);
             self.ended_targets.push(target);
         }
     }
 
+    fn remember_end(&mut self, target: &Target) {
+        let id = &target.entry.id;
+        let end = (target.entry.born, target.report_count());
+        if self.ended.insert(Arc::clone(id), end).is_none() {
+            self.ended_order.push_back(Arc::clone(id));
+        }
+        if self.ended_order.len() > MAX_ENDED_INCARNATIONS
+            && let Some(oldest) = self.ended_order.pop_front()
+        {
+            self.ended.remove(&oldest);
+        }
+    }
+
     /// Takes the incarnations that ended since the last call.
     pub fn take_ended(&mut self) -> Vec<Arc<Target>> {
         std::mem::take(&mut self.ended_targets)
--- a/crates/routing/tests/node_state.rs
+++ b/crates/routing/tests/node_state.rs
@@ -7,8 +7,9 @@
 
 use common::{at, entry, location, node};
 use heatherrun_kernel::site::DirectoryQuery;
+use heatherrun_kernel::{Era, Revision};
 use heatherrun_routing::directory::addresses;
-use heatherrun_routing::feed::{Delta, Feed, Item};
+use heatherrun_routing::feed::{Applied, Delta, Feed, Item, ItemRules, Position};
 use heatherrun_routing::fleet::{Change, Fleet, LAPSE_GRACE};
 use heatherrun_routing::target::Distance;
 use proptest::prelude::*;
@@ -21,46 +22,203 @@
     }
 }
 
-fn delta(is_complete: bool, revision: u64, items: Vec<Item>) -> Delta {
+fn position(era: u64, revision: u64) -> Position {
+    Position {
+        era: Era(era),
+        revision: Revision(revision),
+    }
+}
+
+fn delta_in(era: u64, is_complete: bool, revision: u64, items: Vec<Item>) -> Delta {
     Delta {
         items,
         is_complete,
-        revision,
+        position: position(era, revision),
     }
 }
 
+fn delta(is_complete: bool, revision: u64, items: Vec<Item>) -> Delta {
+    delta_in(0, is_complete, revision, items)
+}
+
+/// Applies changes; values that start with "minor" need not be relayed, and
+/// keys that start with "t" are targets, which stay deleted over a restore.
+fn apply_all(feed: &mut Feed, delta: Delta) -> Applied {
+    let rules = ItemRules {
+        is_minor_change: &|_, new| new.value.as_ref().is_some_and(|v| v.starts_with(b"minor")),
+        stays_deleted: &|item| item.key.starts_with('t'),
+    };
+    feed.apply(delta, &rules)
+}
+
+fn apply(feed: &mut Feed, delta: Delta) -> Vec<Item> {
+    apply_all(feed, delta).changed
+}
+
 #[test]
 fn apply_older_revision_is_ignored() {
     let mut feed = Feed::default();
-    feed.apply(delta(true, 5, vec![item("a", 5, Some("new"))]));
-    assert!(
-        feed.apply(delta(false, 6, vec![item("a", 4, Some("old"))]))
-            .is_empty()
-    );
-    assert!(
-        feed.apply(delta(false, 6, vec![item("a", 3, None)]))
-            .is_empty()
-    );
+    apply(&mut feed, delta(true, 5, vec![item("a", 5, Some("new"))]));
+    assert!(apply(&mut feed, delta(false, 6, vec![item("a", 4, Some("old"))])).is_empty());
+    assert!(apply(&mut feed, delta(false, 6, vec![item("a", 3, None)])).is_empty());
 }
 
 #[test]
 fn apply_snapshot_deletes_unlisted_items() {
     let mut feed = Feed::default();
-    feed.apply(delta(
-        true,
-        5,
-        vec![item("a", 1, Some("x")), item("b", 2, Some("y"))],
-    ));
-    let new = feed.apply(delta(true, 9, vec![item("b", 2, Some("y"))]));
+    apply(
+        &mut feed,
+        delta(
+            true,
+            5,
+            vec![item("a", 1, Some("x")), item("b", 2, Some("y"))],
+        ),
+    );
+    let new = apply(&mut feed, delta(true, 9, vec![item("b", 2, Some("y"))]));
     assert_eq!(new, [item("a", 9, None)]);
 }
 
 #[test]
 fn apply_old_snapshot_is_ignored() {
     let mut feed = Feed::default();
-    feed.apply(delta(true, 9, vec![item("a", 8, Some("x"))]));
-    assert!(feed.apply(delta(true, 5, Vec::new())).is_empty());
-    assert_eq!(feed.since(0).items.len(), 1);
+    apply(&mut feed, delta(true, 9, vec![item("a", 8, Some("x"))]));
+    assert!(apply(&mut feed, delta(true, 5, Vec::new())).is_empty());
+    assert_eq!(feed.since(Position::default()).items.len(), 1);
+}
+
+#[test]
+fn apply_older_write_does_not_bring_a_deleted_item_back() {
+    let mut feed = Feed::default();
+    apply(&mut feed, delta(true, 5, vec![item("t", 5, Some("x"))]));
+    apply(&mut feed, delta(false, 9, vec![item("t", 9, None)]));
+    let late = delta(false, 9, vec![item("t", 7, Some("late"))]);
+    assert!(apply(&mut feed, late).is_empty());
+    assert!(feed.since(Position::default()).items.is_empty());
+}
+
+#[test]
+fn since_minor_changes_are_not_relayed() {
+    let mut feed = Feed::default();
+    apply(&mut feed, delta(true, 5, vec![item("t", 5, Some("x"))]));
+    let changed = apply(
+        &mut feed,
+        delta(false, 6, vec![item("t", 6, Some("minor"))]),
+    );
+    assert_eq!(changed.len(), 1, "this node applies it");
+    assert!(feed.since(position(0, 5)).items.is_empty());
+    assert_eq!(feed.since(Position::default()).items[0].revision, 6);
+}
+
+#[test]
+fn apply_later_era_replaces_all_items() {
+    let mut feed = Feed::default();
+    let old = vec![
+        item("same", 3, Some("x")),
+        item("older", 8, Some("new")),
+        item("missing", 9, Some("y")),
+    ];
+    apply(&mut feed, delta_in(1, true, 9, old));
+    let copied = vec![item("same", 3, Some("x")), item("older", 4, Some("old"))];
+    let applied = apply_all(&mut feed, delta_in(2, true, 5, copied));
+    assert!(applied.began_era);
+    let expected = [item("older", 4, Some("old")), item("missing", 5, None)];
+    assert_eq!(applied.changed, expected);
+    assert_eq!(feed.position(), position(2, 5));
+}
+
+/// Orders in which facts of two eras may arrive; only those of the later era
+/// count in the end.
+#[test]
+fn apply_eras_in_any_order() {
+    struct Case {
+        name: &'static str,
+        delta: Delta,
+        is_ignored: bool,
+    }
+    let value = |text| vec![item("k", 6, Some(text))];
+    let cases = [
+        Case {
+            name: "late answer of the previous era",
+            delta: delta_in(1, false, 900, value("old")),
+            is_ignored: true,
+        },
+        Case {
+            name: "late snapshot of the previous era",
+            delta: delta_in(1, true, 900, Vec::new()),
+            is_ignored: true,
+        },
+        Case {
+            name: "changes of an era whose snapshot is missing",
+            delta: delta_in(3, false, 7, value("mixed")),
+            is_ignored: true,
+        },
+        Case {
+            name: "second restore in a row",
+            delta: delta_in(3, true, 2, vec![item("k", 2, Some("third"))]),
+            is_ignored: false,
+        },
+    ];
+    for case in cases {
+        let mut feed = Feed::default();
+        apply(
+            &mut feed,
+            delta_in(1, true, 800, vec![item("k", 700, Some("first"))]),
+        );
+        apply(
+            &mut feed,
+            delta_in(2, true, 5, vec![item("k", 5, Some("second"))]),
+        );
+        let applied = apply_all(&mut feed, case.delta);
+        assert_eq!(
+            applied == Applied::default(),
+            case.is_ignored,
+            "{}",
+            case.name
+        );
+        let expected = if case.is_ignored { "second" } else { "third" };
+        let items = feed.since(Position::default()).items;
+        assert_eq!(
+            items[0].value.as_deref(),
+            Some(expected.as_bytes()),
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn apply_restore_keeps_known_departures_but_not_withdrawn_orders() {
+    let mut feed = Feed::default();
+    let both = || vec![item("t-left", 3, Some("x")), item("order", 4, Some("y"))];
+    apply(&mut feed, delta_in(1, true, 5, both()));
+    let deleted = vec![item("t-left", 8, None), item("order", 9, None)];
+    apply(&mut feed, delta_in(1, false, 9, deleted));
+    // The copy is from before both deletions.
+    let changed = apply(&mut feed, delta_in(2, true, 6, both()));
+    assert_eq!(changed, [item("order", 4, Some("y"))]);
+    // A target that is alive after all writes again.
+    let written = vec![item("t-left", 7, Some("alive"))];
+    assert_eq!(apply(&mut feed, delta_in(2, false, 7, written)).len(), 1);
+}
+
+#[test]
+fn since_nodes_in_different_eras() {
+    let (mut ahead, mut behind) = (Feed::default(), Feed::default());
+    apply(
+        &mut behind,
+        delta_in(1, true, 90, vec![item("k", 90, Some("old"))]),
+    );
+    apply(
+        &mut ahead,
+        delta_in(2, true, 40, vec![item("k", 30, Some("copy"))]),
+    );
+    let nothing = behind.since(ahead.position());
+    assert!(nothing.items.is_empty() && !nothing.is_complete);
+    assert!(apply(&mut ahead, nothing).is_empty());
+    let all = ahead.since(behind.position());
+    assert!(all.is_complete);
+    apply(&mut behind, all);
+    assert_eq!(behind.position(), ahead.position());
 }
 
 /// Writes to a store: the key, and whether it is deleted.
@@ -79,13 +237,13 @@
         for (ix, (key, deleted)) in writes.iter().enumerate() {
             let revision = ix as u64 + 1;
             let value = (!deleted).then_some("v");
-            source.apply(delta(false, revision, vec![item(&format!("k{key}"), revision, value)]));
+            apply(&mut source, delta(false, revision, vec![item(&format!("k{key}"), revision, value)]));
             if pulls[ix] {
-                follower.apply(source.since(follower.revision()));
+                { let changes = source.since(follower.position()); apply(&mut follower, changes) };
             }
         }
-        follower.apply(source.since(follower.revision()));
-        prop_assert_eq!(follower.since(0), source.since(0));
+        { let changes = source.since(follower.position()); apply(&mut follower, changes) };
+        prop_assert_eq!(follower.since(Position::default()), source.since(Position::default()));
     }
 }
 
@@ -110,6 +268,22 @@
     assert_eq!(all["lots"][0].entry.born, 200);
 }
 
+#[test]
+fn apply_report_ended_incarnation_needs_a_newer_report() {
+    let mut fleet = Fleet::default();
+    let near = || location(Distance::Domain);
+    let mut left = entry("a");
+    (left.born, left.report_seq) = (100, 7);
+    fleet.apply_report(at(0), left.clone(), near());
+    assert!(fleet.remove(at(1), "a"));
+    assert_eq!(
+        fleet.apply_report(at(2), left.clone(), near()),
+        Change::Stale
+    );
+    left.report_seq = 8;
+    assert_eq!(fleet.apply_report(at(3), left, near()), Change::New);
+}
+
 #[test]
 fn draining_report_stops_new_calls() {
     let mut fleet = Fleet::default();
--- a/crates/tier/src/control/mod.rs
+++ b/crates/tier/src/control/mod.rs
@@ -408,7 +408,7 @@
     /// The VM list is not served by the store, so its calls don't count.
     pub(crate) async fn call_store(&self, call: StoreCall) -> Result<StoreReply, StoreError> {
         let is_store_call = !matches!(call, StoreCall::Vms);
-        let reply = (self.platform.call)(call).await;
+        let reply = (self.platform.call)(call).await.result;
         if is_store_call {
             let now = self.clock.now();
             let mut state = self.lock();
