Searchers that leave, want quiet or send without end

Change: what a searcher says in answers is kept for its incarnation, over a lapse of its entry too. A target that wants quiet is not chosen (a minute at most); shards that all want it are left out or refused at once with the time when enough of them are back. A last check right before the send withdraws calls that waited for a connection. A request is never sent twice on one connection, and an answer that names no request counts only on a new connection. A handler that panics answers 500 and its connection lives on.

The gateway's clock is the boot clock: deadlines, freshness and graces pass while a machine is suspended, and open requests are decided anew when it wakes.

--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -32,7 +32,7 @@
     };
     let node = Node::new(
         info,
-        Clock::start(),
+        Clock::start_boot(),
         registry::targets(TARGETS_PLUGIN)?(),
         registry::peers(PEERS_PLUGIN)?(),
         registry::platform(PLATFORM_PLUGIN)?(parse(&settings.platform, "platform")?),
--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -79,6 +79,7 @@
         connections: 4,
         reply: 1 << 20,
         left: HANG_TIMEOUT,
+        id_hash: 0,
     };
     let started = Instant::now();
     let result = client.exchange(target, request, |_| Whose::Own).await;
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -10,6 +10,7 @@
 use heatherrun_routing::scatter::{CallEnd, CallIx, CallToSend};
 use heatherrun_routing::target::Target;
 use http::{HeaderMap, Method, Request, Response, Uri};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::crash_tracker;
 use crate::log_throttle::LineKind;
@@ -19,6 +20,10 @@
 /// Maximum size of a target's reply.
 const MAX_REPLY_BYTES: usize = 8 << 20;
 
+/// Maximum time from the decision to send a call until it is sent. A target may
+/// be told half a second more than is left.
+const MAX_SEND_DELAY: Duration = Duration::from_millis(400);
+
 /// A caller's request in the form that is sent to each of its targets.
 #[derive(Debug)]
 pub struct OutgoingRequest {
@@ -46,6 +51,15 @@
     pub fn fingerprint(&self) -> u64 {
         crash_tracker::request_fingerprint(&self.method, &self.uri, &self.body)
     }
+
+    /// Hash of the request id; zero without one.
+    fn id_hash(&self) -> u64 {
+        if self.id.is_empty() {
+            0
+        } else {
+            xxh3_64(self.id.as_bytes())
+        }
+    }
 }
 
 /// A call that ended, with its outcome and reply.
@@ -100,19 +114,31 @@
         connections: max_connections,
         reply: MAX_REPLY_BYTES,
         left: time_left,
+        id_hash: outgoing.id_hash(),
     };
     let request = build_request(&state, &outgoing, &call_to_send.target, time_left);
     let match_reply = |reply: &Response<Bytes>| {
         let head = (state.site.parse_reply)(reply.status(), reply.headers());
-        if head.id.is_none_or(|id| id == outgoing.id) {
-            Whose::Own
-        } else {
-            Whose::Earlier
+        match head.id {
+            None => Whose::Unnamed,
+            Some(id) if id == outgoing.id => Whose::Own,
+            Some(_) => Whose::Earlier,
         }
     };
+    // Connecting takes up to a second, in which the target may have begun to
+    // leave or asked for quiet, or its domain may have been taken out. The time
+    // left that the request names must not be too long either.
+    let may_send = || {
+        let (target, now) = (&call_to_send.target, state.clock.now());
+        now.since(start) < MAX_SEND_DELAY
+            && now < outgoing.deadline
+            && target.accepts_calls()
+            && target.quiet_until(now).is_none()
+            && !state.out_domains.load().contains(&target.entry.domain)
+    };
     let result = state
         .target_client
-        .exchange(route, request, match_reply)
+        .exchange_if(route, request, may_send, match_reply)
         .await;
     guard.ended = true;
     let now = state.clock.now();
@@ -180,6 +206,17 @@
         target.set_gone();
         return CallEnd::NotRun;
     }
+    if head.is_leaving && target.record_leaving() {
+        let (id, service) = (&*target.entry.id, &*target.entry.service);
+        log::info!(target = id, service; "target.leaving");
+    }
+    if let Some(wanted) = head.quiet_for {
+        target.record_quiet(now, wanted);
+        if state.log_throttle.allows(now, LineKind::FailedCall) {
+            let (id, service) = (&*target.entry.id, &*target.entry.service);
+            log::info!(id = outgoing.id.as_str(), target = id, service, wanted_us = micros(wanted); "target.quiet");
+        }
+    }
     if head.not_run {
         target.record_refusal(now, head.call_count);
         return CallEnd::NotRun;
@@ -206,11 +243,12 @@
     match error {
         // The connection limit and the deadline are this node's own and say
         // nothing about the target.
-        ExchangeError::Full | ExchangeError::Expired => CallEnd::NotSent,
+        ExchangeError::Full | ExchangeError::Expired | ExchangeError::Withdrawn => CallEnd::NotSent,
         ExchangeError::NotSent | ExchangeError::Refused => {
             target.record_failure(now);
             CallEnd::NotSent
         }
+        ExchangeError::NoMemory => CallEnd::Lost,
         ExchangeError::Lost | ExchangeError::TimedOut | ExchangeError::BadReply => {
             target.record_failure(now);
             CallEnd::Lost
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 
 use heatherrun_kernel::port::Platform;
 use heatherrun_kernel::routes::{Name, NodeEntry};
+use heatherrun_kernel::time::micros;
 use heatherrun_kernel::{Clock, registry, site};
 use heatherrun_ports::http_server::{self, Limits, Phase};
 use heatherrun_ports::listen::{bind, parse};
@@ -30,6 +31,12 @@
 /// stay well below this.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Interval between checks whether the machine was suspended.
+const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Shortest suspension that open requests are told of.
+const MIN_SUSPENSION: Duration = Duration::from_millis(50);
+
 /// Part of the stop's time limit, in per cent, during which requests are still
 /// accepted: callers keep using the address for a while.
 const STOP_ACCEPT_PERCENT: u32 = 70;
@@ -106,7 +113,7 @@
             peers: bind(own_entry.peers).await?,
             endpoints,
         };
-        let (state, suspicions) = State::new(own_entry, deployment, Clock::start(), site);
+        let (state, suspicions) = State::new(own_entry, deployment, Clock::start_boot(), site);
         tokio::spawn(relay::broadcast_suspicions(Arc::clone(&state), suspicions));
         Ok(Self::serve(state, listeners, &platform))
     }
@@ -141,6 +148,7 @@
                 },
             ));
         }
+        tokio::spawn(watch_suspensions(Arc::clone(&state)));
         tokio::spawn(relay::serve(listeners.peers, Arc::clone(&state)));
         let store_sync = StoreSync::new(Arc::clone(&state), platform.clone());
         tokio::spawn(store_sync.run());
@@ -182,6 +190,22 @@
     }
 }
 
+/// Tells the open requests each time the machine has slept: their timers, which
+/// stood still, are late. Never returns.
+async fn watch_suspensions(state: Arc<State>) {
+    let mut known = state.clock.suspended();
+    loop {
+        tokio::time::sleep(SUSPENSION_CHECK_INTERVAL).await;
+        let suspended = state.clock.suspended();
+        let slept = suspended.saturating_sub(known);
+        if slept > MIN_SUSPENSION {
+            log::warn!(slept_us = micros(slept), feed_age_us = micros(state.feed_age()); "node.slept");
+            state.record_wake();
+        }
+        known = suspended;
+    }
+}
+
 /// Builds the entry under which this node registers.
 fn own_entry(
     node_settings: &NodeSettings,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -164,6 +164,7 @@
         let mut calls = FuturesUnordered::new();
         // Replies by call index.
         let mut replies: Vec<Option<Response<Bytes>>> = Vec::with_capacity(self.shards.len());
+        let mut wakes = state.wakes();
         let mut stop_end = state.stop_end();
         if let Some(end) = *stop_end.borrow_and_update() {
             scatter.limit_deadline(end);
@@ -191,6 +192,10 @@
                         scatter.limit_deadline(end);
                     }
                 }
+                Ok(()) = wakes.changed() => {
+                    let now = state.clock.now();
+                    calls_to_send = self.with_context(|cx| scatter.tick(now, cx));
+                }
                 () = state.clock.sleep_until(wake_at) => {
                     let now = state.clock.now();
                     calls_to_send = self.with_context(|cx| scatter.tick(now, cx));
@@ -274,6 +279,7 @@
         match choice::choose(now, targets, tried, constraints) {
             Choice::Target(target) => TargetChoice::Target(Arc::clone(target)),
             Choice::AtCapacity => TargetChoice::AtCapacity,
+            Choice::Quiet(until) => TargetChoice::Quiet(until),
             Choice::NoTarget => TargetChoice::NoTarget,
         }
     }
@@ -386,7 +392,9 @@
             );
         }
         if not_run {
-            return reply::not_run(cause.name(), NOT_RUN_RETRY_AFTER);
+            let quiet_for = scatter.quiet_until().map(|until| until.time_left(now));
+            let retry_after = quiet_for.unwrap_or_default().max(NOT_RUN_RETRY_AFTER);
+            return reply::not_run(cause.name(), retry_after);
         }
         let error_reply = match self.max_records {
             None => self.take_error_reply(&mut replies),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -102,6 +102,8 @@
     /// Time by which open requests are answered; `None` until the graceful
     /// stop begins.
     stop_end: watch::Sender<Option<Time>>,
+    /// Changes each time the machine has been suspended.
+    wakes: watch::Sender<()>,
     /// This node's shares of limits that apply to all nodes together.
     pub shares: ArcSwap<Shares>,
     /// What this node knows from the store.
@@ -134,6 +136,7 @@
             metrics: Metrics::default(),
             log_throttle: LogThrottle::default(),
             stop_end: watch::Sender::new(None),
+            wakes: watch::Sender::new(()),
             shares: ArcSwap::default(),
             store_view: Mutex::default(),
         });
@@ -165,6 +168,17 @@
         self.stop_end.subscribe()
     }
 
+    /// Records that the machine has been suspended.
+    pub fn record_wake(&self) {
+        self.wakes.send_replace(());
+    }
+
+    /// Subscribes to the ends of suspensions.
+    #[must_use]
+    pub fn wakes(&self) -> watch::Receiver<()> {
+        self.wakes.subscribe()
+    }
+
     /// Whether this node can serve callers: it has a configuration and is not
     /// stopping.
     #[must_use]
--- a/crates/kernel/src/site.rs
+++ b/crates/kernel/src/site.rs
@@ -30,6 +30,11 @@
     pub misdirected: bool,
     /// Number of calls running and queued at the target.
     pub call_count: Option<u32>,
+    /// Whether the target reports that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which a target that refused the request wants none from this
+    /// node.
+    pub quiet_for: Option<Duration>,
 }
 
 /// A request to the directory, which lists the nodes for a caller to use.
--- a/crates/kernel/src/time.rs
+++ b/crates/kernel/src/time.rs
@@ -66,10 +66,24 @@
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
-/// The runtime's monotonic clock, counted from the start of the process.
+/// Time since boot, the time for which the machine was suspended included.
+fn boot_time() -> Duration {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let secs = u64::try_from(now.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(now.tv_nsec).unwrap_or_default();
+    Duration::new(secs, nanos)
+}
+
+/// A monotonic clock, counted from the start of the process.
+///
+/// The runtime's clock stands still while the machine is suspended, and tests
+/// pause it. A clock made by [`Clock::start_boot`] counts suspensions, so that
+/// what expires does so also on a machine that slept.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: tokio::time::Instant,
+    /// Boot time at the start; none for the runtime's clock.
+    boot_origin: Option<Duration>,
 }
 
 impl Clock {
@@ -78,19 +92,49 @@
     pub fn start() -> Self {
         Self {
             origin: tokio::time::Instant::now(),
+            boot_origin: None,
+        }
+    }
+
+    /// Starts a clock whose zero is the present moment and which also counts
+    /// the time for which the machine is suspended.
+    #[must_use]
+    pub fn start_boot() -> Self {
+        Self {
+            boot_origin: Some(boot_time()),
+            ..Self::start()
         }
     }
 
     /// The current time.
     #[must_use]
     pub fn now(&self) -> Time {
-        Time(micros(self.origin.elapsed()))
+        let elapsed = match self.boot_origin {
+            Some(origin) => boot_time().saturating_sub(origin),
+            None => self.origin.elapsed(),
+        };
+        Time(micros(elapsed))
     }
 
-    /// Converts `time` to an instant of the runtime's clock.
+    /// Time for which the machine has been suspended since the start; zero for
+    /// the runtime's clock.
+    #[must_use]
+    pub fn suspended(&self) -> Duration {
+        let running = self.origin.elapsed();
+        let elapsed = self
+            .boot_origin
+            .map(|origin| boot_time().saturating_sub(origin));
+        elapsed.unwrap_or(running).saturating_sub(running)
+    }
+
+    /// Converts `time` to an instant of the runtime's clock; one in the past to
+    /// the present if the clock counts suspensions.
     #[must_use]
     pub fn instant(&self, time: Time) -> tokio::time::Instant {
-        self.origin + Duration::from_micros(time.0)
+        match self.boot_origin {
+            Some(_) => tokio::time::Instant::now() + time.time_left(self.now()),
+            None => self.origin + Duration::from_micros(time.0),
+        }
     }
 
     /// Sleeps until `time`; returns at once when it has passed.
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -24,6 +24,7 @@
 
 pub use crate::http_exchange::Whose;
 use crate::http_exchange::{self, SendOutcome};
+use crate::reply_memory::ReplyMemory;
 
 /// Maximum time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -61,6 +62,9 @@
     /// The deadline passed before a byte of the request was sent.
     #[error("deadline passed before sending; the request was not sent")]
     Expired,
+    /// The caller no longer allowed the request when a connection was ready.
+    #[error("the request was withdrawn before sending; it was not sent")]
+    Withdrawn,
     /// The connection was lost after the request was sent.
     #[error("connection lost; the request may have run")]
     Lost,
@@ -71,6 +75,9 @@
     /// request.
     #[error("reply truncated, too long or of another request; the request may have run")]
     BadReply,
+    /// All replies that arrive at the same time take too much memory.
+    #[error("replies take too much memory; the request may have run; lower the size of replies")]
+    NoMemory,
 }
 
 impl From<ExchangeError> for StoreError {
@@ -79,10 +86,12 @@
             ExchangeError::NotSent
             | ExchangeError::Refused
             | ExchangeError::Full
-            | ExchangeError::Expired => Self::Unavailable,
-            ExchangeError::Lost | ExchangeError::TimedOut | ExchangeError::BadReply => {
-                Self::NoAnswer
-            }
+            | ExchangeError::Expired
+            | ExchangeError::Withdrawn => Self::Unavailable,
+            ExchangeError::Lost
+            | ExchangeError::TimedOut
+            | ExchangeError::BadReply
+            | ExchangeError::NoMemory => Self::NoAnswer,
         }
     }
 }
@@ -98,6 +107,10 @@
     pub reply: usize,
     /// Time left until the whole reply must have arrived.
     pub left: Duration,
+    /// Hash of an id that the reply repeats; zero for none. Two requests with
+    /// the same id never follow each other on a connection, since a late second
+    /// reply to the first would pass for the reply to the second.
+    pub id_hash: u64,
 }
 
 /// An open connection; it closes when dropped.
@@ -106,6 +119,8 @@
     last_used: Instant,
     /// Idle time after which it is no longer reused.
     idle_timeout: Duration,
+    /// [`Route::id_hash`] of the last request.
+    id_hash: u64,
     _slot: ConnectionSlot,
 }
 
@@ -134,6 +149,7 @@
 #[derive(Default)]
 pub struct Client {
     pools: ArcSwap<HashMap<SocketAddr, Arc<Pool>>>,
+    reply_memory: ReplyMemory,
     reuse_disabled: bool,
 }
 
@@ -158,6 +174,23 @@
         route: Route,
         request: Request<Bytes>,
         classify_reply: impl Fn(&Response<Bytes>) -> Whose,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        self.exchange_if(route, request, || true, classify_reply)
+            .await
+    }
+
+    /// Like [`Client::exchange`], but asks `may_send` right before the request
+    /// is sent, when a connection is ready.
+    ///
+    /// # Errors
+    /// [`ExchangeError::Withdrawn`] when `may_send` returned false, otherwise
+    /// as [`Client::exchange`].
+    pub async fn exchange_if(
+        &self,
+        route: Route,
+        request: Request<Bytes>,
+        may_send: impl Fn() -> bool,
+        classify_reply: impl Fn(&Response<Bytes>) -> Whose,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let pool = self.pool(route.address);
         let deadline = Instant::now() + route.left;
@@ -168,11 +201,23 @@
             if Instant::now() >= deadline {
                 return Err(ExchangeError::Expired);
             }
+            if !may_send() {
+                if reused {
+                    pool.release(connection);
+                }
+                return Err(ExchangeError::Withdrawn);
+            }
+            connection.id_hash = route.id_hash;
             let sending = http_exchange::send(
                 &mut connection.stream,
                 &request,
                 route.reply,
-                &classify_reply,
+                &self.reply_memory,
+                |reply| match classify_reply(reply) {
+                    Whose::Unnamed if reused => Whose::Crossed,
+                    Whose::Unnamed => Whose::Own,
+                    whose => whose,
+                },
             );
             let Ok(sent) = tokio::time::timeout_at(deadline, sending).await else {
                 // If one connection is unresponsive, the pool's other
@@ -235,7 +280,10 @@
     /// Whether the connection can carry another request: it has not been idle
     /// for too long, and the peer has neither closed it nor sent unsolicited
     /// bytes.
-    fn is_reusable(&self) -> bool {
+    fn is_reusable(&self, id_hash: u64) -> bool {
+        if id_hash != 0 && id_hash == self.id_hash {
+            return false;
+        }
         let read = self.stream.try_read(&mut [0]);
         let nothing_received = read.is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
         nothing_received && self.last_used.elapsed() < self.idle_timeout
@@ -254,7 +302,7 @@
             let Some(connection) = self.lock_idle().pop() else {
                 break;
             };
-            if connection.is_reusable() {
+            if connection.is_reusable(route.id_hash) {
                 return Ok((connection, true));
             }
         }
@@ -321,6 +369,7 @@
         stream,
         last_used: Instant::now(),
         idle_timeout: IDLE_TIMEOUT,
+        id_hash: 0,
         _slot: slot,
     })
 }
--- a/crates/ports/src/http_exchange.rs
+++ b/crates/ports/src/http_exchange.rs
@@ -13,9 +13,17 @@
 use tokio::net::TcpStream;
 
 use crate::http_client::ExchangeError;
+use crate::reply_memory::ReplyMemory;
 
 /// Maximum size of a reply's head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+/// Maximum length of a chunk's size with its extensions, and of all trailers, in
+/// bytes.
+const MAX_CHUNK_OVERHEAD_BYTES: usize = 4 * 1024;
+
+/// Maximum number of informational (1xx) replies before the final one.
+const MAX_INFORMATIONAL_REPLIES: usize = 4;
 
 /// Maximum number of headers in a reply.
 const MAX_HEADERS: usize = 64;
@@ -41,6 +49,9 @@
 pub enum Whose {
     /// The request that was just sent.
     Own,
+    /// No request is named: taken for the request that was just sent if it is
+    /// the first one on its connection, and for unknown otherwise.
+    Unnamed,
     /// An earlier request; the expected reply follows on the connection.
     Earlier,
     /// Unknown: the connection is out of step and must not be reused.
@@ -70,15 +81,18 @@
     stream: &mut TcpStream,
     request: &Request<Bytes>,
     max_body_bytes: usize,
+    memory: &ReplyMemory,
     classify_reply: impl Fn(&Response<Bytes>) -> Whose,
 ) -> SendOutcome {
     let mut output = Bytes::from(encode(request));
     let request_length = output.len();
     let mut input = BytesMut::new();
+    let mut memory_grant = memory.reply();
     let mut closed = false;
     let mut skipped = 0;
+    let mut parser = Parser::new(request.method(), max_body_bytes);
     loop {
-        match parse(&mut input, closed, request.method(), max_body_bytes) {
+        match parser.next(&mut input, closed) {
             Err(error) => return SendOutcome::Failed(error),
             Ok(Some((reply, keep_alive))) => {
                 // Bytes after the reply belong to no request, so the connection
@@ -97,28 +111,22 @@
             }
             Ok(None) if closed && output.len() == request_length => return SendOutcome::NotSent,
             Ok(None) if closed => {
-                return SendOutcome::Failed(truncation_error(&input, request.method()));
+                return SendOutcome::Failed(parser.truncation_error(&input));
             }
             Ok(None) => {}
         }
         match write_or_read(stream, &mut output, &mut input).await {
+            Ok(_) if !memory_grant.covers(parser.memory(&input)) => {
+                return SendOutcome::Failed(ExchangeError::NoMemory);
+            }
             Ok(now_closed) => closed = now_closed,
             Err(_) if output.len() == request_length => return SendOutcome::NotSent,
             // After a reset, whether the body was complete is unknown.
-            Err(_) => return SendOutcome::Failed(truncation_error(&input, request.method())),
+            Err(_) => return SendOutcome::Failed(parser.truncation_error(&input)),
         }
     }
 }
 
-/// Error for a reply that ended early: [`ExchangeError::Lost`] if its head was
-/// incomplete, [`ExchangeError::BadReply`] otherwise.
-fn truncation_error(input: &[u8], method: &Method) -> ExchangeError {
-    match parse_head(input, method) {
-        Ok(None) => ExchangeError::Lost,
-        _ => ExchangeError::BadReply,
-    }
-}
-
 /// Writes or reads some bytes, whichever is ready first, because a peer may
 /// reply before it has read a long body. Returns true when the peer has closed
 /// the connection.
@@ -176,40 +184,140 @@
     head
 }
 
-/// Removes the first complete reply from `input` and returns it with whether
-/// the connection stays open; `None` while bytes are missing. Informational
-/// (1xx) replies are dropped.
-fn parse(
-    input: &mut BytesMut,
-    closed: bool,
-    method: &Method,
+/// Takes complete replies out of the input as it arrives. Each byte is looked
+/// at about once, and input that can no longer become a reply within the limits
+/// is an error, so that neither memory nor time grows with what a peer sends.
+struct Parser<'a> {
+    method: &'a Method,
     max_body_bytes: usize,
-) -> Result<Option<(Response<Bytes>, bool)>, ExchangeError> {
-    loop {
-        let Some((head, head_length)) = parse_head(input, method)? else {
-            return Ok(None);
-        };
-        if head.response.status().is_informational() {
-            input.advance(head_length);
-            continue;
+    /// Head of the reply whose body is arriving.
+    head: Option<Head>,
+    /// Content of the chunks so far.
+    chunks: BytesMut,
+    /// Whether the last chunk has arrived and the trailers have not.
+    in_trailers: bool,
+    /// Number of informational (1xx) replies, which are dropped.
+    informational: usize,
+}
+
+impl<'a> Parser<'a> {
+    fn new(method: &'a Method, max_body_bytes: usize) -> Self {
+        Self {
+            method,
+            max_body_bytes,
+            head: None,
+            chunks: BytesMut::new(),
+            in_trailers: false,
+            informational: 0,
         }
-        let rest = &input[head_length..];
-        let body = match head.framing {
-            Framing::Length(size) if size > max_body_bytes => return Err(ExchangeError::BadReply),
-            Framing::Length(size) if rest.len() < size => None,
-            Framing::Length(size) => Some((Bytes::copy_from_slice(&rest[..size]), size)),
-            Framing::Chunked => parse_chunks(rest, max_body_bytes)?,
-            Framing::UntilClose if rest.len() > max_body_bytes => {
+    }
+
+    /// Removes the first complete reply from `input` and returns it with
+    /// whether the connection stays open; `None` while bytes are missing.
+    fn next(
+        &mut self,
+        input: &mut BytesMut,
+        closed: bool,
+    ) -> Result<Option<(Response<Bytes>, bool)>, ExchangeError> {
+        while self.head.is_none() {
+            let Some((head, head_length)) = parse_head(input, self.method)? else {
+                return Ok(None);
+            };
+            input.advance(head_length);
+            if !head.response.status().is_informational() {
+                self.head = Some(head);
+                break;
+            }
+            self.informational += 1;
+            if self.informational > MAX_INFORMATIONAL_REPLIES {
                 return Err(ExchangeError::BadReply);
             }
-            Framing::UntilClose if !closed => None,
-            Framing::UntilClose => Some((Bytes::copy_from_slice(rest), rest.len())),
+        }
+        let Some(body) = self.take_body(input, closed)? else {
+            return Ok(None);
         };
-        let Some((body, body_length)) = body else {
+        let head = self.head.take();
+        Ok(head.map(|head| (head.response.map(|()| body), head.keep_alive)))
+    }
+
+    /// Removes the complete body from `input`; `None` while bytes are missing.
+    fn take_body(
+        &mut self,
+        input: &mut BytesMut,
+        closed: bool,
+    ) -> Result<Option<Bytes>, ExchangeError> {
+        let framing = self.head.as_ref().map(|head| head.framing);
+        let length = match framing {
+            None => return Ok(None),
+            Some(Framing::Chunked) => return self.take_chunks(input),
+            Some(Framing::Length(length)) => length,
+            Some(Framing::UntilClose) => input.len(),
+        };
+        if length > self.max_body_bytes {
+            return Err(ExchangeError::BadReply);
+        }
+        let is_missing = input.len() < length || (framing == Some(Framing::UntilClose) && !closed);
+        if is_missing {
             return Ok(None);
+        }
+        let body = Bytes::copy_from_slice(&input[..length]);
+        input.advance(length);
+        Ok(Some(body))
+    }
+
+    /// Removes complete chunks from `input`; returns their content once the
+    /// last one and the trailers have arrived.
+    fn take_chunks(&mut self, input: &mut BytesMut) -> Result<Option<Bytes>, ExchangeError> {
+        while !self.in_trailers {
+            let (line_length, size) = match httparse::parse_chunk_size(input) {
+                Ok(httparse::Status::Complete(parsed)) => parsed,
+                Ok(httparse::Status::Partial) if input.len() <= MAX_CHUNK_OVERHEAD_BYTES => {
+                    return Ok(None);
+                }
+                _ => return Err(ExchangeError::BadReply),
+            };
+            let size = usize::try_from(size).map_err(|_| ExchangeError::BadReply)?;
+            if self.chunks.len().saturating_add(size) > self.max_body_bytes {
+                return Err(ExchangeError::BadReply);
+            }
+            if size == 0 {
+                input.advance(line_length);
+                self.in_trailers = true;
+                break;
+            }
+            let Some(chunk) = input.get(line_length..line_length + size + 2) else {
+                return Ok(None);
+            };
+            if !chunk.ends_with(b"\r\n") {
+                return Err(ExchangeError::BadReply);
+            }
+            self.chunks.extend_from_slice(&chunk[..size]);
+            input.advance(line_length + size + 2);
+        }
+        let Some(length) = trailers_length(input) else {
+            return if input.len() > MAX_CHUNK_OVERHEAD_BYTES {
+                Err(ExchangeError::BadReply)
+            } else {
+                Ok(None)
+            };
         };
-        input.advance(head_length + body_length);
-        return Ok(Some((head.response.map(|()| body), head.keep_alive)));
+        input.advance(length);
+        self.in_trailers = false;
+        Ok(Some(self.chunks.split().freeze()))
+    }
+
+    /// Error for a reply that ended early: [`ExchangeError::Lost`] if its head
+    /// was incomplete, [`ExchangeError::BadReply`] otherwise.
+    fn truncation_error(&self, input: &[u8]) -> ExchangeError {
+        match parse_head(input, self.method) {
+            Ok(None) if self.head.is_none() => ExchangeError::Lost,
+            _ => ExchangeError::BadReply,
+        }
+    }
+
+    /// Memory that the reply takes so far, in bytes.
+    fn memory(&self, input: &BytesMut) -> usize {
+        input.len() + self.chunks.len()
     }
 }
 
@@ -238,7 +346,9 @@
         map.append(name, value);
     }
     let framing = body_framing(&map, status, method)?;
-    let close = has_token(&map, &CONNECTION, "close");
+    // Two framings leave it open where the reply ends.
+    let is_ambiguous = map.contains_key(CONTENT_LENGTH) && map.contains_key(TRANSFER_ENCODING);
+    let close = is_ambiguous || has_token(&map, &CONNECTION, "close");
     let keep_alive = parsed.version == Some(1) && !close && framing != Framing::UntilClose;
     let mut response = Response::new(());
     *response.status_mut() = status;
@@ -286,41 +396,6 @@
     tokens.any(|t| t.trim().eq_ignore_ascii_case(token))
 }
 
-/// Decodes a chunked body and returns it with the number of bytes consumed;
-/// `None` while bytes are missing.
-fn parse_chunks(
-    input: &[u8],
-    max_body_bytes: usize,
-) -> Result<Option<(Bytes, usize)>, ExchangeError> {
-    let mut body = BytesMut::new();
-    let mut offset = 0;
-    loop {
-        let (size_line_length, size) = match httparse::parse_chunk_size(&input[offset..]) {
-            Ok(httparse::Status::Complete(parsed)) => parsed,
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err(ExchangeError::BadReply),
-        };
-        offset += size_line_length;
-        let size = usize::try_from(size).map_err(|_| ExchangeError::BadReply)?;
-        if size == 0 {
-            return Ok(
-                trailers_length(&input[offset..]).map(|length| (body.freeze(), offset + length))
-            );
-        }
-        if body.len().saturating_add(size) > max_body_bytes {
-            return Err(ExchangeError::BadReply);
-        }
-        let Some(chunk) = input.get(offset..offset + size + 2) else {
-            return Ok(None);
-        };
-        if !chunk.ends_with(b"\r\n") {
-            return Err(ExchangeError::BadReply);
-        }
-        body.extend_from_slice(&chunk[..size]);
-        offset += size + 2;
-    }
-}
-
 /// Length of the trailer section including its final empty line; `None` while
 /// it is incomplete.
 fn trailers_length(input: &[u8]) -> Option<usize> {
--- a/crates/ports/src/http_server.rs
+++ b/crates/ports/src/http_server.rs
@@ -3,6 +3,7 @@
 
 use std::{
     net::SocketAddr,
+    panic::AssertUnwindSafe,
     pin::Pin,
     sync::{
         Arc,
@@ -13,7 +14,7 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
-use http::Request;
+use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -23,7 +24,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 use crate::http_io::GuardedStream;
-use crate::http_reply::{Aborted, Fault, Reply, set_connection_close};
+use crate::http_reply::{Aborted, Fault, Reply, plain, set_connection_close};
 
 /// Maximum size of the read buffer of a connection, and so of a request's head,
 /// in bytes.
@@ -229,6 +230,14 @@
     drop(slot);
 }
 
+/// Reply to a request whose handler failed: whether it ran is unknown.
+fn internal_error() -> Reply {
+    plain(
+        StatusCode::INTERNAL_SERVER_ERROR,
+        "internal error; the request may have run",
+    )
+}
+
 /// Reads the body within the limits and passes the request or its fault to the
 /// handler.
 async fn handle_request<F, H>(
@@ -258,7 +267,11 @@
         }
     };
     let is_fault = received.is_err();
-    let mut reply = (shared.handler)(received, peer).await;
+    let handling = AssertUnwindSafe(async { (shared.handler)(received, peer).await });
+    let mut reply = handling.catch_unwind().await.unwrap_or_else(|_| {
+        log::error!(peer:% = peer; "request.handler-panicked");
+        internal_error()
+    });
     if is_fault || *shared.phase.borrow() != Phase::Serve {
         set_connection_close(&mut reply);
     }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod peer;
 pub mod peer_client;
 pub mod platform;
+mod reply_memory;
 pub mod serving;
 pub mod target;
 pub mod wire;
--- a/crates/ports/src/platform.rs
+++ b/crates/ports/src/platform.rs
@@ -54,6 +54,7 @@
         connections: MAX_CONNECTIONS,
         reply: MAX_REPLY_BYTES,
         left: call.wait() + CALL_TIMEOUT,
+        id_hash: 0,
     };
     let reply = client.exchange(route, request, |_| Whose::Own).await?;
     if reply.status() != StatusCode::OK {
--- a/crates/ports/src/target.rs
+++ b/crates/ports/src/target.rs
@@ -79,17 +79,23 @@
             .max(1),
         reply: MAX_REPLY_BYTES,
         left: call.time_left,
+        id_hash: 0,
     };
     let sending = client.exchange(route, request, |reply| classify_reply(reply, &id));
     match sending.await {
         Ok(reply) => decode_call_reply(&reply),
-        Err(ExchangeError::NotSent | ExchangeError::Refused | ExchangeError::Full) => {
-            Err(CallError::not_run(Failure::NoConnection))
-        }
+        Err(
+            ExchangeError::NotSent
+            | ExchangeError::Refused
+            | ExchangeError::Full
+            | ExchangeError::Withdrawn,
+        ) => Err(CallError::not_run(Failure::NoConnection)),
         Err(ExchangeError::Expired) => Err(CallError::not_run(Failure::Expired)),
         Err(ExchangeError::Lost) => Err(CallError::unknown(Failure::ConnectionLost)),
         Err(ExchangeError::TimedOut) => Err(CallError::unknown(Failure::TimedOut)),
-        Err(ExchangeError::BadReply) => Err(CallError::unknown(Failure::BadReply)),
+        Err(ExchangeError::BadReply | ExchangeError::NoMemory) => {
+            Err(CallError::unknown(Failure::BadReply))
+        }
     }
 }
 
@@ -197,6 +203,7 @@
         connections: connection_limit(endpoint),
         reply: MAX_REPLY_BYTES,
         left: CANCEL_TIMEOUT,
+        id_hash: 0,
     };
     let _ = client.exchange(route, request, |_| Whose::Own).await;
 }
@@ -209,6 +216,7 @@
         connections: connection_limit(endpoint),
         reply: MAX_REPLY_BYTES,
         left: REPORT_TIMEOUT,
+        id_hash: 0,
     };
     let reply = client.exchange(route, request, |_| Whose::Own).await.ok()?;
     serde_json::from_slice(reply.body()).ok()
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -43,6 +43,9 @@
     Target(&'a Arc<Target>),
     /// All targets that may serve the request are at their limit.
     AtCapacity,
+    /// All targets that may serve the request want no calls; the first of them
+    /// takes calls again at this time.
+    Quiet(Time),
     /// No target may serve the request.
     NoTarget,
 }
@@ -58,10 +61,15 @@
 ) -> Choice<'a> {
     let mut best: Option<(u64, &Arc<Target>)> = None;
     let mut any_full = false;
+    let mut quiet_until: Option<Time> = None;
     for target in targets {
         if tried.contains(&target.entry.id) || !may_serve(target, constraints) {
             continue;
         }
+        if let Some(until) = target.quiet_until(now) {
+            quiet_until = Some(quiet_until.map_or(until, |first| first.min(until)));
+            continue;
+        }
         if target.in_flight() >= (constraints.max_calls)(target) {
             any_full = true;
             continue;
@@ -79,7 +87,7 @@
         }
         Some((_, target)) => Choice::Target(target),
         None if any_full => Choice::AtCapacity,
-        None => Choice::NoTarget,
+        None => quiet_until.map_or(Choice::NoTarget, Choice::Quiet),
     }
 }
 
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -13,7 +13,7 @@
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Name, TargetEntry};
 
-use crate::target::{Location, Target};
+use crate::target::{Location, Target, Told};
 
 /// How long after a store outage a lapsed entry may come back: about two
 /// seconds.
@@ -39,6 +39,14 @@
     Stale,
 }
 
+/// What is remembered of an incarnation that ended.
+#[derive(Clone, Copy, Debug)]
+struct EndedIncarnation {
+    born: u64,
+    report_seq: u64,
+    told: Told,
+}
+
 /// All known targets. A lapsed entry keeps its target until its grace period
 /// ends.
 #[derive(Debug, Default)]
@@ -47,8 +55,8 @@
     /// Targets whose entries lapsed, with the end of their grace period.
     lapsed: BTreeMap<Name, Time>,
     outage_end: Option<Time>,
-    /// Start and last report of incarnations that ended.
-    ended: HashMap<Name, (u64, u64)>,
+    /// Incarnations that ended, by name of the target.
+    ended: HashMap<Name, EndedIncarnation>,
     /// The keys of `ended`, oldest first.
     ended_order: VecDeque<Name>,
     /// Incarnations that ended and were not returned by [`Fleet::take_ended`]
@@ -60,9 +68,8 @@
     /// Applies a report of a target located at `location`. A newer incarnation
     /// replaces the known one.
     pub fn apply_report(&mut self, now: Time, entry: TargetEntry, location: Location) -> Change {
-        if let Some((born, report_seq)) = self.ended.get(&entry.id)
-            && (entry.born, entry.report_seq) <= (*born, *report_seq)
-        {
+        let ended = self.ended.get(&entry.id).copied();
+        if ended.is_some_and(|e| (entry.born, entry.report_seq) <= (e.born, e.report_seq)) {
             return Change::Stale;
         }
         self.lapsed.remove(&entry.id);
@@ -90,8 +97,11 @@
             self.ended_targets.push(Arc::clone(known));
         }
         let id = Arc::clone(&entry.id);
-        self.targets
-            .insert(id, Arc::new(Target::new(now, entry, location)));
+        let target = Target::new(now, entry, location);
+        if let Some(ended) = ended.filter(|e| e.born == target.entry.born) {
+            target.inherit(&ended.told);
+        }
+        self.targets.insert(id, Arc::new(target));
         Change::New
     }
 
@@ -139,7 +149,11 @@
 
     fn remember_end(&mut self, target: &Target) {
         let id = &target.entry.id;
-        let end = (target.entry.born, target.report_count());
+        let end = EndedIncarnation {
+            born: target.entry.born,
+            report_seq: target.report_count(),
+            told: target.told(),
+        };
         if self.ended.insert(Arc::clone(id), end).is_none() {
             self.ended_order.push_back(Arc::clone(id));
         }
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -72,6 +72,8 @@
     NoTarget,
     /// All targets are at their concurrency limit.
     AtCapacity,
+    /// All targets want no calls for some time.
+    Quiet,
     /// The request could not be sent to a target.
     NotSent,
     /// A target refused the request without running it.
@@ -91,6 +93,7 @@
         match self {
             Self::NoTarget => "no-target",
             Self::AtCapacity => "no-room",
+            Self::Quiet => "quiet",
             Self::NotSent => "not-sent",
             Self::Refused => "refused",
             Self::Late => "late",
@@ -158,6 +161,8 @@
     Target(Arc<Target>),
     /// All targets that may serve the request are at their concurrency limit.
     AtCapacity,
+    /// All targets that may serve the request want no calls until this time.
+    Quiet(Time),
     /// No target may serve the request.
     NoTarget,
 }
@@ -204,6 +209,8 @@
     part: Option<CallIx>,
     /// Greatest cause of failure so far.
     cause: Option<Cause>,
+    /// When its targets take calls again, if all of them wanted none.
+    quiet_until: Option<Time>,
 }
 
 impl ShardState {
@@ -371,6 +378,11 @@
                 shard.cause.get_or_insert(Cause::AtCapacity);
                 return;
             }
+            TargetChoice::Quiet(until) => {
+                shard.cause.get_or_insert(Cause::Quiet);
+                shard.quiet_until = Some(until);
+                return;
+            }
             TargetChoice::NoTarget
                 if !shard.refused_by.is_empty()
                     && now + REFUSAL_RETRY_DELAY < self.plan.capacity_by =>
@@ -465,7 +477,7 @@
         }
         let retry_at = Some(now + CAPACITY_RETRY_DELAY);
         match (cx.choose)(ix, &shard.tried) {
-            TargetChoice::NoTarget => {}
+            TargetChoice::NoTarget | TargetChoice::Quiet(_) => {}
             TargetChoice::Target(target) if !target.is_queueing(now) && !target.is_avoided(now) => {
                 // An overdue call counts as having reached its target.
                 shard.reached_target = true;
@@ -520,6 +532,21 @@
         (expired || cannot_answer).then(|| self.failure(cannot_answer && !expired))
     }
 
+    /// When enough of the targets that want no calls take them again; `None`
+    /// when that is not what the request lacks.
+    #[must_use]
+    pub fn quiet_until(&self) -> Option<Time> {
+        let missing = self.shards.iter().filter(|s| s.part.is_none());
+        let mut ends: Vec<_> = missing.filter_map(|s| s.quiet_until).collect();
+        ends.sort_unstable();
+        let available = self.shards.len() - ends.len();
+        let needed = (1..=ends.len()).find(|n| self.meets_min_share(available + n))?;
+        if self.meets_min_share(available) {
+            return None;
+        }
+        ends.get(needed - 1).copied()
+    }
+
     /// Whether this number of answered shards makes an answer.
     fn meets_min_share(&self, answered: usize) -> bool {
         #[expect(
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -57,6 +57,10 @@
 /// Maximum interval between two calls to a cold target.
 const MAX_COLD_INTERVAL_SECS: f64 = 60.0;
 
+/// Maximum time for which a target is left alone at its own wish. A longer one
+/// is taken for a mistake.
+const MAX_QUIET_TIME: Duration = Duration::from_mins(1);
+
 /// Maximum time that a failing or unresponsive target is avoided.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
@@ -80,6 +84,15 @@
     pub distance: Distance,
 }
 
+/// What a target said of itself in replies, and only there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// End of the time in which it wants no calls from this node.
+    pub quiet_until: Time,
+}
+
 impl Distance {
     /// Expected latency of a target without observed replies.
     const fn initial_latency(self) -> Duration {
@@ -105,6 +118,11 @@
     /// Sequence number of the newest report.
     report_count: AtomicU64,
     draining: AtomicBool,
+    /// Whether its replies said that it is leaving. Unlike `draining`, a report
+    /// does not reset it: the registry may be behind.
+    leaving: AtomicBool,
+    /// End of the time in which it wants no calls from this node.
+    quiet_until: AtomicU64,
     /// Whether this incarnation ended.
     gone: AtomicBool,
     /// End of the slow start.
@@ -143,6 +161,8 @@
             distance: location.distance,
             report_count: AtomicU64::new(entry.report_seq),
             draining: AtomicBool::new(entry.draining),
+            leaving: AtomicBool::new(false),
+            quiet_until: AtomicU64::new(0),
             gone: AtomicBool::new(false),
             cold_until: AtomicU64::new(0),
             in_flight: AtomicU32::new(0),
@@ -190,16 +210,49 @@
         self.gone.store(true, Ordering::Relaxed);
     }
 
-    /// Marks the target as draining.
-    pub fn set_draining(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+    /// Records that a reply said that the target is leaving; true the first
+    /// time.
+    pub fn record_leaving(&self) -> bool {
+        !self.leaving.swap(true, Ordering::Relaxed)
+    }
+
+    /// Records that the target refused a call and wants none for `wanted`.
+    pub fn record_quiet(&self, now: Time, wanted: Duration) {
+        let until = now + wanted.min(MAX_QUIET_TIME);
+        self.quiet_until.fetch_max(until.0, Ordering::Relaxed);
+    }
+
+    /// Takes over what an earlier object of the same incarnation was told in
+    /// replies.
+    pub fn inherit(&self, told: &Told) {
+        self.leaving.store(told.is_leaving, Ordering::Relaxed);
+        self.quiet_until
+            .store(told.quiet_until.0, Ordering::Relaxed);
     }
 
-    /// Whether the target may be sent new calls: it is neither draining nor
-    /// gone.
+    /// What the target said of itself in replies.
+    #[must_use]
+    pub fn told(&self) -> Told {
+        Told {
+            is_leaving: self.leaving.load(Ordering::Relaxed),
+            quiet_until: Time(self.quiet_until.load(Ordering::Relaxed)),
+        }
+    }
+
+    /// Whether the target may be sent new calls: it is neither draining,
+    /// leaving nor gone.
     #[must_use]
     pub fn accepts_calls(&self) -> bool {
-        !self.draining.load(Ordering::Relaxed) && !self.gone.load(Ordering::Relaxed)
+        let flags = [&self.draining, &self.leaving, &self.gone];
+        !flags.iter().any(|flag| flag.load(Ordering::Relaxed))
+    }
+
+    /// End of the time in which the target wants no calls from this node;
+    /// `None` when it takes them.
+    #[must_use]
+    pub fn quiet_until(&self, now: Time) -> Option<Time> {
+        let until = Time(self.quiet_until.load(Ordering::Relaxed));
+        (now < until).then_some(until)
     }
 
     /// Whether the target is cold, that is, in its slow start.
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -28,6 +28,7 @@
     match choose(at(10_000), targets, tried, constraints) {
         Choice::Target(target) => target.entry.id.to_string(),
         Choice::AtCapacity => "no-room".to_owned(),
+        Choice::Quiet(until) => format!("quiet until {until}"),
         Choice::NoTarget => "no-target".to_owned(),
     }
 }
@@ -133,3 +134,18 @@
     }
     assert_eq!(choose_id(&[near, far], &[], &unrestricted()), "far");
 }
+
+#[test]
+fn choose_quiet_targets_are_left_alone() {
+    let targets = ["a", "b"].map(|id| target(id, Distance::Domain));
+    targets[0].record_quiet(at(9_000), ms(5_000));
+    assert_eq!(choose_id(&targets, &[], &unrestricted()), "b");
+    targets[1].record_quiet(at(9_000), ms(2_000));
+    let first_end = at(11_000);
+    let expected = format!("quiet until {first_end}");
+    assert_eq!(choose_id(&targets, &[], &unrestricted()), expected);
+    // One of them has left: only the other one comes back.
+    targets[1].record_leaving();
+    let expected = format!("quiet until {}", at(14_000));
+    assert_eq!(choose_id(&targets, &[], &unrestricted()), expected);
+}
--- a/crates/routing/tests/node_state.rs
+++ b/crates/routing/tests/node_state.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use common::{at, entry, location, node};
+use common::{at, entry, location, ms, node};
 use heatherrun_kernel::site::DirectoryQuery;
 use heatherrun_kernel::{Era, Revision};
 use heatherrun_routing::directory::addresses;
@@ -284,6 +284,29 @@
     assert_eq!(fleet.apply_report(at(3), left, near()), Change::New);
 }
 
+#[test]
+fn apply_report_keeps_what_the_incarnation_said_in_replies() {
+    let mut fleet = Fleet::default();
+    let near = || location(Distance::Domain);
+    fleet.apply_report(at(0), entry("a"), near());
+    let known = Arc::clone(&fleet.services()["lots"][0]);
+    known.record_leaving();
+    known.record_quiet(at(0), ms(9_000));
+    let mut report = entry("a");
+    report.report_seq = 2;
+    fleet.apply_report(at(1), report.clone(), near());
+    assert!(!known.accepts_calls(), "the registry may be behind");
+    fleet.remove(at(2), "a");
+    report.report_seq = 3;
+    fleet.apply_report(at(3), report.clone(), near());
+    let again = Arc::clone(&fleet.services()["lots"][0]);
+    assert!(!again.accepts_calls() && again.quiet_until(at(3)).is_some());
+    (report.born, report.report_seq) = (2, 1);
+    fleet.apply_report(at(4), report, near());
+    let restarted = Arc::clone(&fleet.services()["lots"][0]);
+    assert!(restarted.accepts_calls() && restarted.quiet_until(at(4)).is_none());
+}
+
 #[test]
 fn draining_report_stops_new_calls() {
     let mut fleet = Fleet::default();
--- a/crates/routing/tests/scatter.rs
+++ b/crates/routing/tests/scatter.rs
@@ -17,8 +17,10 @@
 use proptest::prelude::*;
 
 /// Stands in for the node: targets of each shard, the remaining extra calls,
-/// and whether all targets are at their limit.
+/// whether all targets are at their limit, and the shards whose targets all
+/// want no calls.
 struct TestNode {
+    quiet: HashMap<usize, Time>,
     shards: Vec<Vec<Arc<Target>>>,
     extra: Cell<u32>,
     full: Cell<bool>,
@@ -36,6 +38,7 @@
         };
         let shard = |shard| (0..replicas).map(|n| replica(shard, n)).collect();
         Self {
+            quiet: HashMap::new(),
             shards: (0..shards).map(shard).collect(),
             extra: Cell::new(u32::MAX),
             full: Cell::new(false),
@@ -48,6 +51,9 @@
                 if self.full.get() {
                     return TargetChoice::AtCapacity;
                 }
+                if let Some(until) = self.quiet.get(&shard) {
+                    return TargetChoice::Quiet(*until);
+                }
                 let may_call = |t: &&Arc<Target>| !tried.contains(&t.entry.id) && t.accepts_calls();
                 match self.shards[shard].iter().find(may_call) {
                     Some(found) => TargetChoice::Target(Arc::clone(found)),
@@ -353,3 +359,44 @@
         }
     }
 }
+
+/// Shards that want no calls are left out at once if the rest suffices; if not,
+/// the request is refused at once with the time when enough of them are back.
+#[test]
+fn verdict_quiet_shards_are_left_out_or_refused_at_once() {
+    let mut node = TestNode::new(10, 2);
+    node.quiet = HashMap::from([(1, at(4_000)), (3, at(3_000))]);
+    for (min_share, expected) in [(0.8, None), (0.9, Some(at(3_000))), (1.0, Some(at(4_000)))] {
+        let mut scatter = Scatter::new(plan(min_share), 10);
+        let calls_to_send = node.with(|cx| scatter.start(at(0), cx));
+        assert_eq!(calls_to_send.len(), 8);
+        assert_eq!(scatter.quiet_until(), expected, "{min_share}");
+        let is_refused = scatter.verdict(at(0)).is_some();
+        assert_eq!(is_refused, expected.is_some(), "{min_share}");
+        if expected.is_none() {
+            for call in 0..8 {
+                node.with(|cx| scatter.call_ended(at(5), call, CallEnd::Part, cx));
+            }
+            assert!(matches!(scatter.verdict(at(5)), Some(Verdict::Answer(_))));
+        }
+    }
+}
+
+/// A machine that slept past the deadline: what was sent may have run, and what
+/// waited for capacity has not; both are decided with the first look at the
+/// clock.
+#[test]
+fn verdict_after_a_long_sleep_is_the_truth_at_once() {
+    let node = TestNode::new(1, 2);
+    for (was_sent, expected) in [(true, false), (false, true)] {
+        node.full.set(!was_sent);
+        let mut scatter = Scatter::new(once_plan(), 1);
+        node.with(|cx| scatter.start(at(0), cx));
+        let woken = at(60_000);
+        assert!(node.with(|cx| scatter.tick(woken, cx)).is_empty());
+        let Some(Verdict::None { not_run, cause }) = scatter.verdict(woken) else {
+            panic!("no verdict");
+        };
+        assert_eq!((not_run, cause), (expected, Cause::Late));
+    }
+}
--- a/crates/routing/tests/target.rs
+++ b/crates/routing/tests/target.rs
@@ -102,3 +102,15 @@
     assert_eq!(admitted, 4);
     assert!(!target.admit_cold_call(at(2_000), 0.0));
 }
+
+#[test]
+fn quiet_time_is_limited_and_a_shorter_one_does_not_end_a_longer_one() {
+    let target = target("a", Distance::Domain);
+    target.record_quiet(at(0), ms(10_000));
+    target.record_quiet(at(100), ms(500));
+    assert_eq!(target.quiet_until(at(9_999)), Some(at(10_000)));
+    assert_eq!(target.quiet_until(at(10_000)), None);
+    target.record_quiet(at(10_000), std::time::Duration::MAX);
+    assert_eq!(target.quiet_until(at(69_999)), Some(at(70_000)));
+    assert_eq!(target.quiet_until(at(70_000)), None);
+}
--- a/crates/standins/examples/quickstart/caller.rs
+++ b/crates/standins/examples/quickstart/caller.rs
@@ -98,6 +98,7 @@
             connections: CONNECTIONS,
             reply: ANSWER_BYTES,
             left: WAIT,
+            id_hash: 0,
         };
         let reply = self.client.exchange(route, request, |_| Whose::Own).await?;
         if reply.status() != StatusCode::OK {
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -73,6 +73,7 @@
         connections: 64,
         reply: 1 << 20,
         left: Duration::from_secs(30),
+        id_hash: 0,
     };
     client.exchange(route, request, |_| Whose::Own).await
 }
