The point of answer leaves time for the caller's way

The rest is the way: callers that open a connection spend a round trip before they send, and 44 ms go by between regions. A constant of 13 ms fits neither.

Change: Deadline-Ms tells what a caller has spent; on a new connection that is its round trip, which is kept for the connection's later requests. The point of answer is the objective less what was spent, the way back and here, and twice this node's own delay after that point (a running quantile). Callers that waited longer than half the objective have tried before and tell nothing. Addresses in other regions are one beside those of the region, else two.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,6 +1,9 @@
 //! Serves one caller's request, from its arrival to its reply.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -8,11 +11,12 @@
 use heatherrun_kernel::routes::{Destination, Name, Route};
 use heatherrun_kernel::time::micros;
 use heatherrun_ports::http_reply::{Fault, Reply, plain};
-use heatherrun_ports::http_server::Received;
+use heatherrun_ports::http_server::{ConnectionNote, Received};
 use heatherrun_routing::choice::{self, Choice, ChoiceConstraints};
 use heatherrun_routing::crash_detector;
 use heatherrun_routing::fleet::Services;
-use heatherrun_routing::plan::Plan;
+use heatherrun_routing::plan::{CallerPath, Plan};
+use heatherrun_routing::route_stats::RouteLatency;
 use heatherrun_routing::scatter::{
     CallIx, CallToSend, Cause, Context, RequestShard, Scatter, TargetChoice, Verdict,
 };
@@ -130,12 +134,14 @@
         };
         let head = (state.site.parse_caller)(&received.head.headers);
         let time_left = head.time_left.unwrap_or(route.timeout);
-        let plan = Plan::new(&route, start, time_left);
+        let route_latency = state.route_stats.route(&route.name);
+        let path = caller_path(&received, &route, time_left, &route_latency);
+        let plan = Plan::new(&route, start, time_left, path, route_latency.answer_delay());
         let outgoing = OutgoingRequest {
             id: head.id.unwrap_or_default().to_owned(),
             deadline: plan.end,
             is_part: max_records.is_some(),
-            route_latency: state.route_stats.route(&route.name),
+            route_latency,
             ..outgoing_request(&state, received)
         };
         Self {
@@ -340,7 +346,11 @@
             );
         }
         match self.max_records {
-            Some(max_records) => reply::merge_parts(&self.state, &parts, missing, max_records),
+            Some(max_records) => {
+                let merged = reply::merge_parts(&self.state, &parts, missing, max_records);
+                self.record_answer_delay();
+                merged
+            }
             None => match parts.pop() {
                 Some(part) => reply::forward(part),
                 None => reply::outcome_unknown(Cause::Lost),
@@ -348,6 +358,16 @@
         }
     }
 
+    /// Records how long after the point of answer a merged answer is ready, if
+    /// it had to wait for that point.
+    fn record_answer_delay(&self) {
+        let now = self.state.clock.now();
+        if now >= self.plan.answer_by {
+            let delay = now.since(self.plan.answer_by);
+            self.outgoing.route_latency.record_answer_delay(delay);
+        }
+    }
+
     /// Missing shards and causes for a log line, as "service:cause", at most
     /// [`MAX_LOGGED_SHARDS`].
     fn describe_missing(&self, scatter: &Scatter) -> String {
@@ -417,6 +437,25 @@
     }
 }
 
+/// Path of the caller. Its round trip is kept for the other requests of its
+/// connection.
+fn caller_path(
+    received: &Received,
+    route: &Route,
+    time_left: Duration,
+    latency: &RouteLatency,
+) -> CallerPath {
+    let longest = latency.record_wait(time_left);
+    let note = received.head.extensions.get::<ConnectionNote>();
+    let known = note.map_or(0, |note| note.0.load(Ordering::Relaxed));
+    let known = Duration::from_micros(known);
+    let path = CallerPath::new(time_left, longest, route.objective, known);
+    if let Some(note) = note {
+        note.0.store(micros(path.round_trip), Ordering::Relaxed);
+    }
+    path
+}
+
 /// Builds the request for the targets from a caller's request, without the
 /// headers that concern only the caller's connection or this tier. The id, the
 /// deadline and the fields about the route are left for the caller to set.
--- a/crates/ports/src/http_server.rs
+++ b/crates/ports/src/http_server.rs
@@ -88,6 +88,11 @@
     Close,
 }
 
+/// A number that the handler keeps for all requests of a connection, among the
+/// extensions of a request's head; zero at first.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionNote(pub Arc<AtomicU64>);
+
 /// A request whose body has been read completely.
 #[derive(Debug)]
 pub struct Received {
@@ -185,7 +190,9 @@
 {
     let request_count = Arc::new(AtomicU64::new(0));
     let (service_shared, counter) = (Arc::clone(&shared), Arc::clone(&request_count));
-    let service = service_fn(move |request| {
+    let note = ConnectionNote::default();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(note.clone());
         counter.fetch_add(1, Ordering::AcqRel);
         let shared = Arc::clone(&service_shared);
         async move { handle_request(&shared, request, peer).await }
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -17,18 +17,18 @@
 /// calls, which take a large part of its objective on a weak node.
 const MIN_POWER_SHARE: f64 = 0.5;
 
-/// Number of nodes of other failure domains, of the caller's region and of
-/// others, that are announced beside the near ones.
+/// Number of nodes of other failure domains that are announced beside the near
+/// ones: of the caller's region, and half as many of others, or of others alone.
 const OTHER_NODES: usize = 2;
 
 /// How often a near node's address and that of a node of another failure domain
 /// in the region are repeated. A caller picks one address at random: nodes
 /// elsewhere serve it when the near ones are lost, and rarely before.
-const NEAR_REPEATS: usize = 12;
+const NEAR_REPEATS: usize = 18;
 const REGION_REPEATS: usize = 3;
 
 /// Maximum number of addresses of near nodes, repeated ones included.
-const MAX_NEAR_ADDRESSES: usize = 48;
+const MAX_NEAR_ADDRESSES: usize = 54;
 
 /// Node with its distance from the caller: same failure domain, same region,
 /// elsewhere.
@@ -56,13 +56,17 @@
         .take(MAX_NEAR_ADDRESSES)
         .flat_map(|(.., node)| std::iter::repeat_n(node.callers, repeats.max(1)))
         .collect();
+    let mut wanted = OTHER_NODES;
     for (distance, repeats) in [(1, REGION_REPEATS), (2, 1)] {
         let others = rest.iter().filter(|(d, ..)| *d == distance);
         let others: Vec<_> = others.filter(|(.., n)| !is_known(n)).collect();
-        let others = others.iter().cycle().skip(turn % others.len().max(1));
-        for (.., node) in others.take(OTHER_NODES) {
+        let turned = others.iter().cycle().skip(turn % others.len().max(1));
+        for (.., node) in turned.take(wanted.min(others.len())) {
             addresses.extend(std::iter::repeat_n(node.callers, repeats));
         }
+        if !others.is_empty() {
+            wanted = OTHER_NODES / 2;
+        }
     }
     addresses.truncate(MAX_ADDRESSES);
     addresses
--- a/crates/routing/src/plan.rs
+++ b/crates/routing/src/plan.rs
@@ -6,9 +6,17 @@
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Destination, Repeat, Route};
 
-/// Part of the latency objective reserved for the network path between this
-/// node and the caller, some 3 ms each way, and for merging.
-const RESPONSE_RESERVE: Duration = Duration::from_millis(13);
+/// Lowest round trip to a caller that is assumed.
+const MIN_ROUND_TRIP: Duration = Duration::from_millis(7);
+
+/// Bounds of the part of the latency objective that is reserved for this node's
+/// own delay, the upper one as a divisor of the objective.
+const MIN_OWN_RESERVE: Duration = Duration::from_millis(2);
+const MAX_OWN_RESERVE_DIVISOR: u32 = 3;
+
+/// Factor of the delay after the point of answer that is reserved: a busy
+/// processor delays a request about as much before its clock starts.
+const OWN_DELAY_FACTOR: u32 = 2;
 
 /// Part of the caller's waiting time reserved for the network path in both
 /// directions, some 3 ms each, and for a new connection.
@@ -22,6 +30,45 @@
 /// objective. It is longer since the other shards are searched meanwhile.
 const SHARD_CAPACITY_WAIT_PERCENT: u32 = 60;
 
+/// What the time that a caller still waits tells of its way to this node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallerPath {
+    /// Time that passed at the caller before it sent the request, such as that
+    /// of opening a connection.
+    pub spent: Duration,
+    /// Round trip to the caller; zero when unknown.
+    pub round_trip: Duration,
+}
+
+impl CallerPath {
+    /// Path of a caller that waits for `remaining`, of at most `longest` that
+    /// callers of the route were seen to wait. `known` is the round trip seen on
+    /// the same connection, zero on a new one: there the caller has spent one
+    /// round trip on opening it.
+    ///
+    /// A caller that spent more than half of the objective has tried before, or
+    /// waits less long than others; that tells nothing of the path.
+    #[must_use]
+    pub fn new(
+        remaining: Duration,
+        longest: Duration,
+        objective: Duration,
+        known: Duration,
+    ) -> Self {
+        let spent = longest.saturating_sub(remaining);
+        if spent > objective / 2 {
+            return Self {
+                spent: Duration::ZERO,
+                round_trip: known,
+            };
+        }
+        Self {
+            spent,
+            round_trip: if known.is_zero() { spent } else { known },
+        }
+    }
+}
+
 /// Limits of one request.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -41,21 +88,33 @@
 
 impl Plan {
     /// Plan of a request to `route` that arrives at `start`, whose caller waits
-    /// for `remaining` more.
+    /// for `remaining` more. `answer_delay` is how long this node takes from the
+    /// point of answer until the answer is ready.
     #[must_use]
-    pub fn new(route: &Route, start: Time, remaining: Duration) -> Self {
+    pub fn new(
+        route: &Route,
+        start: Time,
+        remaining: Duration,
+        path: CallerPath,
+        answer_delay: Duration,
+    ) -> Self {
         let end = start
             + remaining
                 .saturating_sub(ROUND_TRIP_RESERVE)
                 .min(route.timeout);
         let objective = route.objective;
+        let own_reserve = answer_delay
+            .saturating_mul(OWN_DELAY_FACTOR)
+            .min(objective / MAX_OWN_RESERVE_DIVISOR)
+            .max(MIN_OWN_RESERVE);
+        let reserve = path.spent + path.round_trip.max(MIN_ROUND_TRIP) + own_reserve;
         let (answer_by, capacity_wait, min_share) = match route.to {
             Destination::Shards {
                 min_coverage: min_share,
                 ..
             } => (
-                end.min(start + objective.saturating_sub(RESPONSE_RESERVE)),
-                objective * SHARD_CAPACITY_WAIT_PERCENT / 100,
+                end.min(start + objective.saturating_sub(reserve)),
+                objective.saturating_mul(SHARD_CAPACITY_WAIT_PERCENT) / 100,
                 min_share,
             ),
             Destination::Service(_) | Destination::Split(_) => {
--- a/crates/routing/src/route_stats.rs
+++ b/crates/routing/src/route_stats.rs
@@ -3,7 +3,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -26,11 +29,15 @@
 /// needs time left to win.
 const MAX_DELAY_DIVISOR: u32 = 3;
 
-/// Latency quantiles of one route, separate for near and far targets.
+/// Latency quantiles of one route: of calls to near and far targets, and of this
+/// node's own work from the point of answer until the answer is ready.
 #[derive(Debug, Default)]
 pub struct RouteLatency {
     near: Quantile,
     far: Quantile,
+    answer_delay: Quantile,
+    /// Longest time that a caller waits, in microseconds.
+    longest_wait: AtomicU64,
 }
 
 impl RouteLatency {
@@ -46,6 +53,25 @@
         self.quantile(distance).record_latency(micros(took));
     }
 
+    /// Records how long a caller still waits; returns the longest time that any
+    /// caller waits.
+    pub fn record_wait(&self, remaining: Duration) -> Duration {
+        let remaining = micros(remaining);
+        let before = self.longest_wait.fetch_max(remaining, Ordering::Relaxed);
+        Duration::from_micros(before.max(remaining))
+    }
+
+    /// Records how long after the point of answer an answer was ready.
+    pub fn record_answer_delay(&self, took: Duration) {
+        self.answer_delay.record_latency(micros(took));
+    }
+
+    /// Time from the point of answer until nearly all answers are ready.
+    #[must_use]
+    pub fn answer_delay(&self) -> Duration {
+        Duration::from_micros(self.answer_delay.estimate_us())
+    }
+
     /// Delay after which a call to `target` is hedged, for a route with the
     /// given latency objective.
     #[must_use]
