Malformed messages and unexpected errors end no process and no part of one

Cause: operators of similar systems lost a process to one malformed message. And a search over no shards at all was answered 200 with no part.

Change: background tasks are started again and logged (task.failed); no shards means no answer, not run.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use crate::roster::RosterWriter;
 use crate::state::{Deployment, State};
 use crate::store_sync::StoreSync;
-use crate::{endpoints, join, relay, serve};
+use crate::{endpoints, join, relay, serve, supervise};
 
 /// Maximum size of a caller's request body; the configuration sets a lower
 /// limit.
@@ -124,7 +124,10 @@
         };
         let (state, suspicions) = State::new(own_entry, deployment, Clock::start_boot(), site);
         let suspicions = Arc::new(tokio::sync::Mutex::new(suspicions));
-        tokio::spawn(relay::broadcast_suspicions(Arc::clone(&state), suspicions));
+        let own = Arc::clone(&state);
+        supervise::spawn("suspicions", move || {
+            relay::broadcast_suspicions(Arc::clone(&own), Arc::clone(&suspicions))
+        });
         Ok(Self::serve(state, listeners, &platform))
     }
 
@@ -158,12 +161,7 @@
                 },
             ));
         }
-        tokio::spawn(watch_clock(Arc::clone(&state)));
-        tokio::spawn(relay::serve(Arc::new(listeners.peers), Arc::clone(&state)));
-        tokio::spawn(join::run(Arc::clone(&state)));
-        let store_sync = StoreSync::new(Arc::clone(&state), platform.clone());
-        tokio::spawn(store_sync.run());
-        tokio::spawn(RosterWriter::new(Arc::clone(&state), platform.clone()).run());
+        Self::spawn_background(&state, listeners.peers, platform);
         Self {
             state,
             phase,
@@ -171,6 +169,26 @@
         }
     }
 
+    /// Spawns the tasks that keep the state up to date.
+    fn spawn_background(state: &Arc<State>, peers: TcpListener, platform: &Platform) {
+        let peers = Arc::new(peers);
+        let of = |state: &Arc<State>| Arc::clone(state);
+        let own = of(state);
+        supervise::spawn("clock", move || watch_clock(of(&own)));
+        let own = of(state);
+        supervise::spawn("relay", move || relay::serve(Arc::clone(&peers), of(&own)));
+        let own = of(state);
+        supervise::spawn("join", move || join::run(of(&own)));
+        let (own, store) = (of(state), platform.clone());
+        supervise::spawn("store-sync", move || {
+            StoreSync::new(of(&own), store.clone()).run()
+        });
+        let (own, store) = (of(state), platform.clone());
+        supervise::spawn("roster", move || {
+            RosterWriter::new(of(&own), store.clone()).run()
+        });
+    }
+
     /// Address at which this node serves the other nodes.
     #[must_use]
     pub fn peers(&self) -> SocketAddr {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod serve;
 pub mod state;
 pub mod store_sync;
+pub mod supervise;
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -523,7 +523,8 @@
         let enough = answered > 0 && self.meets_min_share(answered);
         let expired = now >= self.plan.end;
         let may_answer = pending == 0 || now >= self.plan.answer_by;
-        if answered == total || (enough && (may_answer || expired)) {
+        let is_whole = answered > 0 && answered == total;
+        if is_whole || (enough && (may_answer || expired)) {
             return Some(Verdict::Answer(
                 self.shards.iter().map(|s| s.part).collect(),
             ));
