A planned stop reads kept connections a little longer; why names quiet and leaving

Here, when the server closed, an idle kept connection was shut at once and what then came was read and thrown away: a request that was on its way was read and never answered.

Change: for 200 ms a kept connection is still served, and one that stays idle is closed without reading on, so that the sender of a later request learns by the reset that it was not read. heatherrun why knows the causes and events of quiet and leaving searchers, restores, shares and sleep.

--- a/crates/ports/src/http_server.rs
+++ b/crates/ports/src/http_server.rs
@@ -41,6 +41,10 @@
 /// that has sent none yet.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which, while the server closes, a kept connection is still read: a
+/// request may be on its way.
+const KEPT_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Maximum time to keep reading from a peer after the last response while the
 /// server closes. A response is in transit for some tens of milliseconds; a
 /// longer wait would let idle peers use up the time limit of the stop.
@@ -189,13 +193,19 @@
     H: Fn(Result<Received, Fault>, SocketAddr) -> F + Send + Sync + 'static,
 {
     let request_count = Arc::new(AtomicU64::new(0));
+    let reply_count = Arc::new(AtomicU64::new(0));
     let (service_shared, counter) = (Arc::clone(&shared), Arc::clone(&request_count));
+    let replies = Arc::clone(&reply_count);
     let note = ConnectionNote::default();
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(note.clone());
         counter.fetch_add(1, Ordering::AcqRel);
-        let shared = Arc::clone(&service_shared);
-        async move { handle_request(&shared, request, peer).await }
+        let (shared, replies) = (Arc::clone(&service_shared), Arc::clone(&replies));
+        async move {
+            let reply = handle_request(&shared, request, peer).await;
+            replies.fetch_add(1, Ordering::AcqRel);
+            reply
+        }
     });
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -209,10 +219,18 @@
         result = &mut connection => Some(result),
         _ = phase.wait_for(|p| *p == Phase::Close) => None,
     };
-    if result.is_none() && request_count.load(Ordering::Acquire) == 0 {
-        result = tokio::time::timeout(FIRST_REQUEST_TIMEOUT, &mut connection)
-            .await
-            .ok();
+    let mut is_idle = false;
+    if result.is_none() {
+        let requests_before = request_count.load(Ordering::Acquire);
+        let wait = if requests_before == 0 {
+            FIRST_REQUEST_TIMEOUT
+        } else {
+            KEPT_REQUEST_TIMEOUT
+        };
+        result = tokio::time::timeout(wait, &mut connection).await.ok();
+        is_idle = result.is_none()
+            && request_count.load(Ordering::Acquire) == requests_before
+            && reply_count.load(Ordering::Acquire) == requests_before;
     }
     let result = if let Some(result) = result {
         result
@@ -226,6 +244,11 @@
     if result.is_err_and(|e| e.is_timeout()) && !parts.read_buf.is_empty() {
         io.refuse(Fault::SlowHead).await;
     }
+    if is_idle {
+        // No response is on its way, and a request that still comes is not to
+        // be read: the reset tells its sender so.
+        return;
+    }
     let closing_linger = async {
         let _ = phase.wait_for(|p| *p == Phase::Close).await;
         tokio::time::sleep(CLOSING_LINGER_TIMEOUT).await;
--- a/crates/ports/tests/http_server.rs
+++ b/crates/ports/tests/http_server.rs
@@ -6,7 +6,8 @@
 use http::{Request, StatusCode};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 /// Sends a GET request over the client's connection to `address`.
@@ -45,3 +46,54 @@
     assert_eq!(get_status(&client, address, "/fine").await, 200);
     assert_eq!(client.connections(address), 1);
 }
+
+/// A request without a body.
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/// Reads until the other side closes the connection.
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let _ = tokio::time::timeout(Duration::from_secs(10), stream.read_to_end(&mut text)).await;
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+/// A planned stop under load: requests are on their way on kept connections when
+/// the server closes. None that it reads is cut off.
+#[tokio::test]
+async fn serve_requests_sent_as_the_server_closes_are_answered() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (phase, phase_receiver) = watch::channel(Phase::Serve);
+    let server = tokio::spawn(http_server::serve(
+        listener,
+        Limits::new(1 << 16),
+        phase_receiver,
+        |_, _| async move { plain(StatusCode::OK, "fine") },
+    ));
+    let mut callers = Vec::new();
+    for _ in 0..40 {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(REQUEST).await.unwrap();
+        let mut first = [0; 512];
+        assert!(stream.read(&mut first).await.unwrap() > 0);
+        callers.push(stream);
+    }
+    phase.send_replace(Phase::Leave);
+    phase.send_replace(Phase::Close);
+    // The connections learn of the close before the requests arrive.
+    for _ in 0..20 {
+        tokio::task::yield_now().await;
+    }
+    for stream in &mut callers {
+        let _ = stream.write_all(REQUEST).await;
+    }
+    for mut stream in callers {
+        let reply = read_all(&mut stream).await;
+        assert!(
+            reply.starts_with("HTTP/1.1 200") && reply.ends_with("fine"),
+            "{reply:?}"
+        );
+        assert!(reply.to_lowercase().contains("connection: close"));
+    }
+    server.await.unwrap();
+}
--- a/crates/report/src/story.rs
+++ b/crates/report/src/story.rs
@@ -31,12 +31,16 @@
 ];
 
 /// Causes in log lines, and the meaning of each.
-const REASONS: [(&str, &str); 7] = [
+const REASONS: [(&str, &str); 8] = [
     ("no-target", "no searcher is known that may be sent it"),
     (
         "no-room",
         "all searchers were at this node's part of their connections",
     ),
+    (
+        "quiet",
+        "all searchers had asked for quiet (Retry-After on a refusal)",
+    ),
     ("not-sent", "no searcher could be reached"),
     ("refused", "searchers said that they did not run it"),
     ("late", "no reply came in time"),
@@ -48,21 +52,28 @@
 ];
 
 /// Events about one target, which the line names.
-const TARGET_EVENTS: [&str; 4] = [
+const TARGET_EVENTS: [&str; 6] = [
     "target.new",
     "target.draining",
     "target.lapsed",
+    "target.leaving",
+    "target.quiet",
     "request.crashed-target",
 ];
 
 /// Events about the state of the node that logged them.
-const NODE_EVENTS: [&str; 10] = [
+const NODE_EVENTS: [&str; 15] = [
     "config.in-force",
     "domain.out",
     "domain.back",
     "store.lost",
     "store.regained",
     "store.outage-ended",
+    "store.restored",
+    "node.shares",
+    "node.slept",
+    "node.load",
+    "task.failed",
     "log.dropped",
     "view.doubted",
     "stop.asked",
