--- a/crates/report/tests/story.rs
+++ b/crates/report/tests/story.rs
@@ -59,6 +59,35 @@
     assert!(text.contains("run: not run\n"), "{text}");
 }
 
+/// A request refused since all searchers wanted quiet, and one that was lost at
+/// a searcher which said that it leaves.
+const TROUBLE: &str = "
+event=target.quiet time=50.100 level=info vm=front-1 id=q1 target=i-1 service=one wanted_us=4000000
+event=request.failed time=50.200 level=info vm=front-1 id=q2 route=r-b version=2 shards=1 calls=0 hedges=0 missing=one:quiet not_run=true cause=quiet left_us=1485000 took_us=90
+event=target.leaving time=60.000 level=info vm=front-1 target=i-2 service=two
+event=call.failed time=60.200 level=info vm=front-1 id=q3 target=i-2 service=two reason=First end=Lost status=0 took_us=3000
+event=request.failed time=60.201 level=info vm=front-1 id=q3 route=r-c version=2 shards=1 calls=1 hedges=0 missing=two:lost not_run=false cause=lost left_us=1485000 took_us=3100
+";
+
+#[test]
+fn story_quiet_and_leaving_searchers_are_named() {
+    let all: Vec<_> = lines(TROUBLE).collect();
+    let quiet = Story::of(&all, "q2").unwrap();
+    assert_eq!(quiet.may_have_run, Some(false));
+    assert!(
+        quiet
+            .reason
+            .as_ref()
+            .unwrap()
+            .starts_with("quiet: all searchers")
+    );
+    let refused = Story::of(&all, "q1").unwrap();
+    assert_eq!(&*refused.steps[0].event, "target.quiet");
+    let lost = Story::of(&all, "q3").unwrap();
+    assert_eq!(lost.may_have_run, Some(true));
+    assert!(lost.around.iter().any(|s| &*s.event == "target.leaving"));
+}
+
 #[test]
 fn story_unknown_id_has_none() {
     assert_eq!(story("e0"), None);
