Changes that are old but newer than one's own are applied

Cause, found in reading: a node below three readers that are all cut off from the store got replies older than its limit and applied none of them, although the readers had learned newer changes from other domains; it would have missed a searcher's leaving for the whole outage.

Change: replies are judged as fresh, newer or old (feed::Freshness); newer ones are applied with their true age.

--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -14,7 +14,7 @@
 use heatherrun_kernel::routes::NodeEntry;
 use heatherrun_kernel::time::micros;
 use heatherrun_kernel::{Era, Time};
-use heatherrun_routing::feed::{Delta, Feed, Item, ItemRules, Position};
+use heatherrun_routing::feed::{Delta, Feed, Freshness, Item, ItemRules, Position};
 use heatherrun_routing::members::{READERS_PER_DOMAIN, Report};
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
@@ -109,7 +109,8 @@
 enum Pulled {
     /// The changes were fresh and are applied.
     Fresh,
-    /// The node replied, but knows nothing fresh.
+    /// The node replied, but knows nothing fresh; what is newer than what this
+    /// node had is applied.
     Stale,
     /// No reply.
     Nothing,
@@ -234,7 +235,7 @@
     /// Requests the changes from another node and applies them unless they are
     /// older than those known. They are fresh when they are at most `max_age`
     /// old. `reports` says whether that node is above this one and is told of
-    /// it.
+    /// this node.
     async fn pull_from(&mut self, address: SocketAddr, max_age: Duration, reports: bool) -> Pulled {
         if self.is_unresponsive(address) {
             return Pulled::Nothing;
@@ -275,11 +276,17 @@
         if delta.position.is_start() || is_earlier_era {
             return Pulled::Stale;
         }
-        if age > max_age {
-            return Pulled::Stale;
+        match Freshness::new(age, self.state.feed_age(), max_age) {
+            Freshness::Fresh => {
+                self.apply_changes(delta, sent_at - age);
+                Pulled::Fresh
+            }
+            Freshness::Newer => {
+                self.apply_changes(delta, sent_at - age);
+                Pulled::Stale
+            }
+            Freshness::Old => Pulled::Stale,
         }
-        self.apply_changes(delta, sent_at - age);
-        Pulled::Fresh
     }
 
     /// Applies changes that were complete at `fresh_at`.
--- a/crates/routing/src/feed.rs
+++ b/crates/routing/src/feed.rs
@@ -9,6 +9,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
+    time::Duration,
 };
 
 use heatherrun_kernel::{Era, Revision};
@@ -38,6 +39,33 @@
     }
 }
 
+/// Worth of changes that another node has, by their age.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// They are fresh enough to ask nobody else.
+    Fresh,
+    /// They are old, but newer than what this node has.
+    Newer,
+    /// They tell nothing new.
+    Old,
+}
+
+impl Freshness {
+    /// Worth of changes that are `age` old for a node whose own are `own_age`
+    /// old. Old ones are applied too: while the readers of a domain are cut off
+    /// from the store, what they learn of other nodes is all that there is.
+    #[must_use]
+    pub fn new(age: Duration, own_age: Duration, max_age: Duration) -> Self {
+        if age <= max_age {
+            Self::Fresh
+        } else if age < own_age {
+            Self::Newer
+        } else {
+            Self::Old
+        }
+    }
+}
+
 /// One item of the store; it has no value if it was deleted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
--- a/crates/routing/tests/node_state.rs
+++ b/crates/routing/tests/node_state.rs
@@ -10,7 +10,7 @@
 use heatherrun_kernel::site::DirectoryQuery;
 use heatherrun_kernel::{Era, Revision};
 use heatherrun_routing::directory::addresses;
-use heatherrun_routing::feed::{Applied, Delta, Feed, Item, ItemRules, Position};
+use heatherrun_routing::feed::{Applied, Delta, Feed, Freshness, Item, ItemRules, Position};
 use heatherrun_routing::fleet::{Change, Fleet, LAPSE_GRACE};
 use heatherrun_routing::target::Distance;
 use proptest::prelude::*;
@@ -248,6 +248,35 @@
     }
 }
 
+/// Readers of a domain that are cut off from the store, at three moments of the
+/// outage: age of their changes and of this node's own.
+#[test]
+fn freshness_of_replies_while_the_readers_are_cut_off() {
+    let cases = [
+        ("before", 900, 1_400, Freshness::Fresh),
+        (
+            "the outage lasts, nobody knows more",
+            5_000,
+            5_000,
+            Freshness::Old,
+        ),
+        (
+            "they asked nodes of another domain",
+            2_300,
+            5_000,
+            Freshness::Newer,
+        ),
+        ("this node knows more already", 2_300, 1_800, Freshness::Old),
+    ];
+    for (case, age, own_age, expected) in cases {
+        assert_eq!(
+            Freshness::new(ms(age), ms(own_age), ms(2_100)),
+            expected,
+            "{case}"
+        );
+    }
+}
+
 #[test]
 fn apply_report_newer_incarnation_wins_over_newer_report() {
     let mut fleet = Fleet::default();
