A search that can't reach its least sends nothing and is refused as not run

Searches were sent to the shards that had one and then answered 502 at once: 278 tries, each up to 36 calls for nothing, and no promise to the caller. With the slow store each round also logged the end of an outage, 100 lines in half a second.

Change: a search of which too few shards have a target sends nothing and gets 503 with 0.3 s (0.15 s for other causes); the end of an outage is logged again only 5 s after the one before.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -41,6 +41,10 @@
 /// `Retry-After` of requests that no target ran.
 const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// `Retry-After` of requests that no known target may serve: after an outage of
+/// the store, targets are known again within two seconds.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// `Retry-After` of banned requests: the interval between trials of one.
 const BANNED_RETRY_AFTER: Duration = crash_detector::TRIAL_INTERVAL;
 
@@ -413,7 +417,12 @@
         }
         if not_run {
             let quiet_for = scatter.quiet_until().map(|until| until.time_left(now));
-            let retry_after = quiet_for.unwrap_or_default().max(NOT_RUN_RETRY_AFTER);
+            let least = if cause == Cause::NoTarget {
+                NO_TARGET_RETRY_AFTER
+            } else {
+                NOT_RUN_RETRY_AFTER
+            };
+            let retry_after = quiet_for.unwrap_or_default().max(least);
             return reply::not_run(cause.name(), retry_after);
         }
         let error_reply = match self.max_records {
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -69,6 +69,9 @@
 /// registered during an outage is then known within 2 s of its end.
 const MAX_STORE_BACKOFF: Duration = Duration::from_millis(1_200);
 
+/// Time without an outage after which the end of the next one is logged.
+const OUTAGE_LOG_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Maximum number of pages in one listing of the store.
 const MAX_LIST_PAGES: usize = 10_000;
 
@@ -93,6 +96,8 @@
     told: HashMap<SocketAddr, Told>,
     /// Number of nodes between this one and the store.
     depth: u32,
+    /// Last end of an outage; with a slow store they follow each other.
+    outage_logged_at: Option<Time>,
 }
 
 /// What another node was told and has told.
@@ -130,6 +135,7 @@
             unresponsive: HashMap::new(),
             told: HashMap::new(),
             depth: 0,
+            outage_logged_at: None,
         }
     }
 
@@ -290,10 +296,14 @@
     }
 
     /// Applies changes that were complete at `fresh_at`.
-    fn apply_changes(&self, delta: Delta, fresh_at: Time) {
+    fn apply_changes(&mut self, delta: Delta, fresh_at: Time) {
         let outage_age = OUTAGE_AGE + PEER_REQUEST_INTERVAL * self.depth.saturating_sub(1);
         if !self.state.position().is_start() && self.state.feed_age() > outage_age {
-            log::info!(age_us = micros(self.state.feed_age()); "store.outage-ended");
+            let now = self.state.clock.now();
+            let logged_at = self.outage_logged_at.replace(now);
+            if logged_at.is_none_or(|at| now.since(at) > OUTAGE_LOG_INTERVAL) {
+                log::info!(age_us = micros(self.state.feed_age()); "store.outage-ended");
+            }
             self.state.record_outage_end();
         }
         self.state.apply(delta, fresh_at);
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -278,15 +278,35 @@
         })
     }
 
-    /// Starts the request: returns the first call to each shard.
+    /// Starts the request: returns the first call to each shard, or none if too
+    /// few shards have a target for an answer. Such a request is refused as not
+    /// run, so that its caller may come back.
     pub fn start(&mut self, now: Time, cx: &Context<'_>) -> Vec<CallToSend> {
         let mut calls_to_send = Vec::with_capacity(self.shards.len());
         for ix in 0..self.shards.len() {
             self.try_send(now, ix, Reason::First, cx, &mut calls_to_send);
         }
+        let pending = self.shards.iter().filter(|s| s.is_pending()).count();
+        if !self.meets_min_share(pending) {
+            for call in calls_to_send.drain(..) {
+                call.target.record_call_end();
+            }
+            self.withdraw();
+        }
         calls_to_send
     }
 
+    /// Takes back all calls, none of which was sent.
+    fn withdraw(&mut self) {
+        self.calls.clear();
+        for shard in &mut self.shards {
+            shard.in_flight.clear();
+            shard.tried.clear();
+            shard.hedge_at = None;
+            shard.retry_at = None;
+        }
+    }
+
     /// Applies the end of a call; returns retries to send. The first part of a
     /// shard completes it, and the ends of its other calls are ignored.
     pub fn call_ended(
