--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -92,17 +92,17 @@
     backoff: Duration,
     /// Unresponsive nodes, and until when no request is sent to them.
     unresponsive: HashMap<SocketAddr, Time>,
-    /// What other nodes were told and have told.
-    told: HashMap<SocketAddr, Told>,
+    /// What other nodes were told, and have sent.
+    peer_records: HashMap<SocketAddr, PeerRecord>,
     /// Number of nodes between this one and the store.
     depth: u32,
     /// Last end of an outage; with a slow store they follow each other.
     outage_logged_at: Option<Time>,
 }
 
-/// What another node was told and has told.
+/// What another node was told, and has sent.
 #[derive(Clone, Copy, Debug, Default)]
-struct Told {
+struct PeerRecord {
     /// Hash of the nodes below this one that the other node knows.
     below_hash: Option<u64>,
     /// Number of suspicions received from it.
@@ -133,7 +133,7 @@
             next_read: Time::default(),
             backoff: RETRY_DELAY,
             unresponsive: HashMap::new(),
-            told: HashMap::new(),
+            peer_records: HashMap::new(),
             depth: 0,
             outage_logged_at: None,
         }
@@ -235,7 +235,7 @@
             UNRESPONSIVE_PEER_DELAY
         };
         self.unresponsive.insert(address, now + delay);
-        self.told.remove(&address);
+        self.peer_records.remove(&address);
     }
 
     /// Requests the changes from another node and applies them unless they are
@@ -247,17 +247,17 @@
             return Pulled::Nothing;
         }
         let sent_at = self.state.clock.now();
-        let told = self.told.get(&address).copied().unwrap_or_default();
+        let record = self.peer_records.get(&address).copied().unwrap_or_default();
         let report = self.state.report(sent_at);
         let below_hash = report.below_hash;
-        let is_told = told.below_hash == Some(below_hash);
+        let is_told = record.below_hash == Some(below_hash);
         let request = ChangesRequest {
             after: self.state.position(),
             report: reports.then_some(Report {
                 below: report.below.filter(|_| !is_told),
                 ..report
             }),
-            known_suspicions: told.suspicions,
+            known_suspicions: record.suspicions,
         };
         let timeout = if request.after.is_start() {
             SNAPSHOT_TIMEOUT
@@ -271,11 +271,11 @@
         for suspicion in reply.suspicions {
             relay::apply_suspicion(&self.state, suspicion);
         }
-        let told = Told {
+        let record = PeerRecord {
             below_hash: (reports && reply.knows_below).then_some(below_hash),
             suspicions: reply.suspicion_count,
         };
-        self.told.insert(address, told);
+        self.peer_records.insert(address, record);
         let age = Duration::from_micros(reply.age);
         let delta = reply.delta;
         let is_earlier_era = delta.position.era < self.state.position().era;
