--- a/crates/daemon/tests/soak/breaks.sh
+++ b/crates/daemon/tests/soak/breaks.sh
@@ -16,7 +16,7 @@
     'refused|crates/gateway/src/serve.rs|s/        if not_run {$/        if not_run || self.max_records.is_none() {/'
     'lost|crates/gateway/src/gateway.rs|s/tokio::time::timeout_at(end, self.callers).await.is_ok()/{ let _ = end; self.callers.abort(); true }/'
     'mixed|crates/routing/src/merge.rs|s/truncate(/truncate(1 + /'
-    'drain|crates/routing/src/target.rs|s/        !self.draining.load(Ordering::Relaxed) .. /        /'
+    'drain|crates/routing/src/target.rs|s/\[&self.draining, &self.leaving, &self.gone\]/[\&self.leaving, \&self.gone]/'
 )
 missed=0
 for entry in "${breaks[@]}"; do
