Addresses stand once in an answer of the directory

Traced: after the kill of all processes 139 + 41 requests of seconds 34 to 38 ended without any address to try (1,154 tries, 292 without repeats): callers did not see that all addresses had failed while near ones stood 18 times in the answer.

Change: each address once; up to two nodes of other domains of the region and one of another region.

--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -9,37 +9,34 @@
 /// caller that knows one node has none left when it fails.
 const MIN_NODES: usize = 2;
 
-/// Maximum number of addresses in an answer, repeated ones included.
+/// Maximum number of addresses in an answer.
 const MAX_ADDRESSES: usize = 64;
 
+/// Maximum number of near nodes in an answer.
+const MAX_NEAR_NODES: usize = 48;
+
 /// Minimum power of a strong node, as a share of the most powerful node at the
 /// same distance. Weak nodes are announced last: a search is split into tens of
 /// calls, which take a large part of its objective on a weak node.
 const MIN_POWER_SHARE: f64 = 0.5;
 
-/// Number of nodes of other failure domains that are announced beside the near
-/// ones: of the caller's region, and half as many of others, or of others alone.
-const OTHER_NODES: usize = 2;
-
-/// How often a near node's address and that of a node of another failure domain
-/// in the region are repeated. A caller picks one address at random: nodes
-/// elsewhere serve it when the near ones are lost, and rarely before.
-const NEAR_REPEATS: usize = 18;
-const REGION_REPEATS: usize = 3;
-
-/// Maximum number of addresses of near nodes, repeated ones included.
-const MAX_NEAR_ADDRESSES: usize = 54;
+/// Maximum number of nodes of other failure domains in the caller's region that
+/// are announced beside the near ones, and of nodes of other regions. A caller
+/// picks one address at random, so each costs callers some of their latency.
+const REGION_NODES: usize = 2;
+const FAR_NODES: usize = 1;
 
-/// Node with its distance from the caller: same failure domain, same region,
-/// elsewhere.
+/// Node with its distance from the caller (same failure domain, same region,
+/// elsewhere) and whether it is weak.
 type Ranked<'a> = (u8, bool, &'a NodeEntry);
 
-/// Addresses of the nodes for a caller. Near nodes come first, strong before
-/// weak; only as many groups of equal distance and strength are taken as give
-/// the minimum number of nodes. Some nodes of other failure domains follow, so
-/// that a caller whose domain or region is lost need not ask for others: those
-/// that it would ask are lost too. `turn` differs between answers and spreads
-/// callers over these nodes.
+/// Addresses of the nodes for a caller, none of them twice: a caller that counts
+/// the addresses that failed would never see that all have. Near nodes come
+/// first, strong before weak; only as many groups of equal distance and strength
+/// are taken as give the minimum number of nodes. Some nodes of other failure
+/// domains follow, so that a caller whose domain or region is lost need not ask
+/// for others: those that it would ask are lost too. `turn` differs between
+/// answers and spreads callers over these nodes.
 #[must_use]
 pub fn addresses<'a>(
     nodes: impl Iterator<Item = &'a NodeEntry>,
@@ -47,26 +44,16 @@
     turn: usize,
 ) -> Vec<SocketAddr> {
     let ranked = rank(nodes, request);
-    let near = near_count(&ranked);
-    let (near, rest) = ranked.split_at(near);
+    let (near, rest) = ranked.split_at(near_count(&ranked));
     let is_known = |node: &NodeEntry| near.iter().any(|(.., n)| n.domain == node.domain);
-    let repeats = NEAR_REPEATS.min(MAX_NEAR_ADDRESSES / near.len().max(1));
-    let mut addresses: Vec<SocketAddr> = near
-        .iter()
-        .take(MAX_NEAR_ADDRESSES)
-        .flat_map(|(.., node)| std::iter::repeat_n(node.callers, repeats.max(1)))
-        .collect();
-    let mut wanted = OTHER_NODES;
-    for (distance, repeats) in [(1, REGION_REPEATS), (2, 1)] {
+    let near_addresses = near.iter().take(MAX_NEAR_NODES).map(|(.., n)| n.callers);
+    let mut addresses: Vec<SocketAddr> = near_addresses.collect();
+    for (distance, most) in [(1, REGION_NODES), (2, FAR_NODES)] {
         let others = rest.iter().filter(|(d, ..)| *d == distance);
         let others: Vec<_> = others.filter(|(.., n)| !is_known(n)).collect();
         let turned = others.iter().cycle().skip(turn % others.len().max(1));
-        for (.., node) in turned.take(wanted.min(others.len())) {
-            addresses.extend(std::iter::repeat_n(node.callers, repeats));
-        }
-        if !others.is_empty() {
-            wanted = OTHER_NODES / 2;
-        }
+        let turned = turned.take(most.min(others.len()));
+        addresses.extend(turned.map(|(.., node)| node.callers));
     }
     addresses.truncate(MAX_ADDRESSES);
     addresses
