--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -407,7 +407,8 @@
         };
         let (old_position, position) = (store_view.feed.position(), delta.position);
         let applied = store_view.feed.apply(delta, &rules);
-        if position >= old_position {
+        // Ignored changes say nothing about the age of what this node has.
+        if position >= old_position && store_view.feed.position() == position {
             store_view.fresh_at = store_view.fresh_at.max(fresh_at);
         }
         let mut targets_changed = store_view.fleet.remove_lapsed(now);
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -109,18 +109,6 @@
     suspicions: u64,
 }
 
-/// Result of a request for changes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Pulled {
-    /// The changes were fresh and are applied.
-    Fresh,
-    /// The node replied, but knows nothing fresh; what is newer than what this
-    /// node had is applied.
-    Stale,
-    /// No reply.
-    Nothing,
-}
-
 impl StoreSync {
     /// Creates the sync of a node whose copy is empty.
     #[must_use]
@@ -160,7 +148,7 @@
         if is_start {
             let sources: Vec<_> = place.above.iter().chain(&place.next).copied().collect();
             for source in sources {
-                if self.pull_from(source, MAX_READER_AGE, true).await == Pulled::Fresh {
+                if self.pull_from(source, MAX_READER_AGE, true).await == Some(Freshness::Fresh) {
                     return PEER_REQUEST_INTERVAL;
                 }
             }
@@ -173,9 +161,12 @@
             let mut has_replied = false;
             for above in &place.above {
                 match self.pull_from(*above, max_age, true).await {
-                    Pulled::Fresh => return PEER_REQUEST_INTERVAL,
-                    Pulled::Stale => has_replied = true,
-                    Pulled::Nothing => {}
+                    Some(Freshness::Fresh) => {
+                        self.forget_peers_except(&place.above);
+                        return PEER_REQUEST_INTERVAL;
+                    }
+                    Some(Freshness::Newer | Freshness::Old) => has_replied = true,
+                    None => {}
                 }
             }
             // Those above read the store or try to: the call would only be one
@@ -189,7 +180,7 @@
         }
         let max_age = OUTAGE_AGE.max(self.state.feed_age());
         for peer in self.fallback_peers() {
-            if self.pull_from(peer, max_age, false).await == Pulled::Fresh {
+            if self.pull_from(peer, max_age, false).await == Some(Freshness::Fresh) {
                 return PEER_REQUEST_INTERVAL;
             }
         }
@@ -241,10 +232,15 @@
     /// Requests the changes from another node and applies them unless they are
     /// older than those known. They are fresh when they are at most `max_age`
     /// old. `reports` says whether that node is above this one and is told of
-    /// this node.
-    async fn pull_from(&mut self, address: SocketAddr, max_age: Duration, reports: bool) -> Pulled {
+    /// this node. Returns none without a reply.
+    async fn pull_from(
+        &mut self,
+        address: SocketAddr,
+        max_age: Duration,
+        reports: bool,
+    ) -> Option<Freshness> {
         if self.is_unresponsive(address) {
-            return Pulled::Nothing;
+            return None;
         }
         let sent_at = self.state.clock.now();
         let record = self.peer_records.get(&address).copied().unwrap_or_default();
@@ -266,7 +262,7 @@
         };
         let Some(reply) = self.peers.fetch_changes(address, request, timeout).await else {
             self.record_unresponsive(address, sent_at);
-            return Pulled::Nothing;
+            return None;
         };
         for suspicion in reply.suspicions {
             relay::apply_suspicion(&self.state, suspicion);
@@ -280,19 +276,20 @@
         let delta = reply.delta;
         let is_earlier_era = delta.position.era < self.state.position().era;
         if delta.position.is_start() || is_earlier_era {
-            return Pulled::Stale;
+            return Some(Freshness::Old);
         }
-        match Freshness::new(age, self.state.feed_age(), max_age) {
-            Freshness::Fresh => {
-                self.apply_changes(delta, sent_at - age);
-                Pulled::Fresh
-            }
-            Freshness::Newer => {
-                self.apply_changes(delta, sent_at - age);
-                Pulled::Stale
-            }
-            Freshness::Old => Pulled::Stale,
+        let freshness = Freshness::new(age, self.state.feed_age(), max_age);
+        if freshness != Freshness::Old {
+            self.apply_changes(delta, sent_at - age);
         }
+        Some(freshness)
+    }
+
+    /// Closes the connections to all other nodes and forgets what was exchanged
+    /// with them.
+    fn forget_peers_except(&mut self, addresses: &[SocketAddr]) {
+        self.peers.retain(addresses);
+        self.peer_records.retain(|a, _| addresses.contains(a));
     }
 
     /// Applies changes that were complete at `fresh_at`.
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -47,6 +47,10 @@
 /// longer reused, so that a request does not race with the peer's close.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Number of pools from which those without a connection are removed: peers come
+/// and go with new addresses.
+const MAX_UNUSED_POOLS: usize = 2_048;
+
 /// Failure of one request/reply exchange.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
 pub enum ExchangeError {
@@ -261,6 +265,9 @@
         let created = Arc::<Pool>::default();
         self.pools.rcu(|old| {
             let mut next = HashMap::clone(old);
+            if next.len() >= MAX_UNUSED_POOLS {
+                next.retain(|_, pool| pool.connection_count.load(Ordering::Acquire) > 0);
+            }
             next.entry(address).or_insert_with(|| Arc::clone(&created));
             next
         });
--- a/crates/routing/src/cell.rs
+++ b/crates/routing/src/cell.rs
@@ -8,8 +8,7 @@
 use crate::members::rank_key;
 
 /// Power of the nodes of a failure domain that serve, in cores of the usual
-/// speed, not counting busy ones. A search of 135 shards takes some 8 ms of a
-/// core, so a domain bears about 190 a second.
+/// speed, not counting busy ones.
 const CELL_POWER: f64 = 1.5;
 
 /// Minimum number of nodes of a failure domain that serve: a caller that knows
--- a/crates/routing/src/route_stats.rs
+++ b/crates/routing/src/route_stats.rs
@@ -29,6 +29,9 @@
 /// needs time left to win.
 const MAX_DELAY_DIVISOR: u32 = 3;
 
+/// Inverse weight of a shorter time in the longest time that callers wait.
+const LONGEST_WAIT_DIVISOR: u64 = 256;
+
 /// Latency quantiles of one route: of calls to near and far targets, and of this
 /// node's own work from the point of answer until the answer is ready.
 #[derive(Debug, Default)]
@@ -36,7 +39,7 @@
     near: Quantile,
     far: Quantile,
     answer_delay: Quantile,
-    /// Longest time that a caller waits, in microseconds.
+    /// Longest time that callers wait, in microseconds.
     longest_wait: AtomicU64,
 }
 
@@ -53,12 +56,15 @@
         self.quantile(distance).record_latency(micros(took));
     }
 
-    /// Records how long a caller still waits; returns the longest time that any
-    /// caller waits.
+    /// Records how long a caller still waits; returns the longest time that
+    /// callers wait. It sinks slowly towards shorter ones, so that one caller with
+    /// a far longer time does not hide what the others have spent for good.
     pub fn record_wait(&self, remaining: Duration) -> Duration {
         let remaining = micros(remaining);
-        let before = self.longest_wait.fetch_max(remaining, Ordering::Relaxed);
-        Duration::from_micros(before.max(remaining))
+        let longest = self.longest_wait.load(Ordering::Relaxed).max(remaining);
+        let next = longest - (longest - remaining) / LONGEST_WAIT_DIVISOR;
+        self.longest_wait.store(next, Ordering::Relaxed);
+        Duration::from_micros(longest)
     }
 
     /// Records how long after the point of answer an answer was ready.
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -12,6 +12,7 @@
 };
 use heatherrun_routing::merge::{RECORD_BYTES, merge_greatest};
 use heatherrun_routing::plan::{CallerPath, Plan};
+use heatherrun_routing::route_stats::RouteLatency;
 use heatherrun_routing::table::RouteTable;
 use proptest::prelude::*;
 
@@ -180,3 +181,19 @@
         assert!(total >= ms(60), "{case}: {total:?}");
     }
 }
+
+#[test]
+fn record_wait_one_far_longer_time_is_forgotten() {
+    let latency = RouteLatency::default();
+    let wait = Duration::from_millis;
+    assert_eq!(latency.record_wait(wait(800)), wait(800));
+    assert_eq!(latency.record_wait(wait(778)), wait(800));
+    let after = latency.record_wait(wait(800));
+    assert!(after >= wait(799), "{after:?}");
+    // A caller that would wait for eleven days.
+    latency.record_wait(wait(1_000_000_000));
+    for _ in 0..6_000 {
+        latency.record_wait(wait(800));
+    }
+    assert!(latency.record_wait(wait(800)) < wait(801));
+}
