--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -139,7 +139,11 @@
         let head = (state.site.parse_caller)(&received.head.headers);
         let time_left = head.time_left.unwrap_or(route.timeout);
         let route_latency = state.route_stats.route(&route.name);
-        let path = caller_path(&received, &route, time_left, &route_latency);
+        let path = head
+            .time_left
+            .map_or_else(CallerPath::default, |time_left| {
+                caller_path(&received, &route, time_left, &route_latency)
+            });
         let plan = Plan::new(&route, start, time_left, path, route_latency.answer_delay());
         let outgoing = OutgoingRequest {
             id: head.id.unwrap_or_default().to_owned(),
