Log and count what searchers say of their limit

Neither logs nor metrics could tell whether a searcher's Server-Limit is read, whether repeats exceed it, or all nodes together. Replies are now parsed for it (a value that is no rate is logged and neither sets nor ends a limit), a target keeps it, and target.limited, target.limit-ended, target.limit-invalid and heatherrun_limited_calls_total show it. Nothing acts on it.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -4,11 +4,12 @@
 
 use bytes::Bytes;
 use heatherrun_kernel::Time;
+use heatherrun_kernel::site::StatedLimit;
 use heatherrun_kernel::time::micros;
 use heatherrun_ports::http_client::{ExchangeError, Route, Whose};
 use heatherrun_routing::route_stats::RouteLatency;
 use heatherrun_routing::scatter::{CallEnd, CallIx, CallToSend};
-use heatherrun_routing::target::Target;
+use heatherrun_routing::target::{LimitChange, Target};
 use http::{HeaderMap, Method, Request, Response, Uri};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -161,6 +162,10 @@
         }
     };
     let elapsed = now.since(start);
+    if call_to_send.target.limit_per_sec().is_some() {
+        let service = &call_to_send.target.entry.service;
+        state.metrics.record_limited_call(service, call_to_send.reason);
+    }
     let entry = &call_to_send.target.entry;
     state.metrics.record_call(&CallSample {
         service: &entry.service,
@@ -218,6 +223,7 @@
             log::info!(id = outgoing.id.as_str(), target = id, service, wanted_us = micros(wanted); "target.quiet");
         }
     }
+    record_limit(state, target, head.limit, now - elapsed);
     if head.not_run {
         target.record_refusal(now, head.call_count);
         return CallEnd::NotRun;
@@ -238,6 +244,25 @@
     CallEnd::Part
 }
 
+/// Records what a reply to a call sent at `sent_at` says of the target's limit.
+fn record_limit(state: &State, target: &Target, stated: StatedLimit, sent_at: Time) {
+    let change = target.record_limit(sent_at, stated);
+    let is_invalid = stated == StatedLimit::Invalid;
+    if (change == LimitChange::None && !is_invalid)
+        || !state
+            .log_throttle
+            .allows(state.clock.now(), LineKind::TargetLimit)
+    {
+        return;
+    }
+    let (id, service) = (&*target.entry.id, &*target.entry.service);
+    match target.limit_per_sec() {
+        _ if is_invalid => log::warn!(target = id, service; "target.limit-invalid"),
+        Some(per_sec) => log::info!(target = id, service, per_sec; "target.limited"),
+        None => log::info!(target = id, service; "target.limit-ended"),
+    }
+}
+
 /// Maps a failed exchange to the end of its call, and records a failure on
 /// the target if the target may have caused it.
 fn record_failure(target: &Target, now: Time, error: ExchangeError) -> CallEnd {
--- a/crates/gateway/src/log_throttle.rs
+++ b/crates/gateway/src/log_throttle.rs
@@ -19,16 +19,19 @@
     FailedCall,
     /// A request was rejected before any call was sent.
     RejectedRequest,
+    /// A target named a limit, another one or none.
+    TargetLimit,
 }
 
 /// Name and maximum number of lines per second of each kind, in the order of
 /// [`LineKind`]. A node with a quarter of a core serves about 60 requests/s:
 /// each failed one gets its line, even at several times that load.
-const LINES_PER_SEC: [(&str, u64); 4] = [
+const LINES_PER_SEC: [(&str, u64); 5] = [
     ("request.failed", 400),
     ("request.partial", 100),
     ("call.failed", 200),
     ("request.turned-away", 100),
+    ("target.limit", 100),
 ];
 
 /// Counts of one kind of line.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,7 @@
     answer_seconds: HistogramVec,
     calls: IntCounterVec,
     reply_seconds: HistogramVec,
+    limited_calls: IntCounterVec,
     /// Configured names that have series of their own.
     label_names: Mutex<HashSet<Name>>,
 }
@@ -73,13 +74,19 @@
                 "time to the reply of a target, by its failure domain",
                 &["domain"],
             ),
+            limited_calls: counter(
+                "heatherrun_limited_calls_total",
+                "calls to targets that name a limit, by service and reason",
+                &["service", "reason"],
+            ),
             label_names: Mutex::default(),
         };
-        let collectors: [Box<dyn Collector>; 4] = [
+        let collectors: [Box<dyn Collector>; 5] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.answer_seconds.clone()),
             Box::new(metrics.calls.clone()),
             Box::new(metrics.reply_seconds.clone()),
+            Box::new(metrics.limited_calls.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).expect(valid);
@@ -129,6 +136,12 @@
         }
     }
 
+    /// Records a call to a target that names a limit.
+    pub fn record_limited_call(&self, service: &Name, reason: Reason) {
+        let labels = [self.label(service), reason.name()];
+        self.limited_calls.with_label_values(&labels).inc();
+    }
+
     /// Label value for `name`: the name itself, or the shared one once
     /// [`MAX_LABEL_NAMES`] others have series.
     fn label<'a>(&self, name: &'a Name) -> &'a str {
--- a/crates/kernel/src/site.rs
+++ b/crates/kernel/src/site.rs
@@ -17,8 +17,21 @@
     pub time_left: Option<Duration>,
 }
 
+/// What a reply says of the rate of calls that its target takes from all nodes
+/// together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum StatedLimit {
+    /// It names no limit: the target takes what its slots allow.
+    #[default]
+    None,
+    /// Calls per second; finite and not negative.
+    PerSec(f64),
+    /// It names something that is no rate, which neither sets nor ends a limit.
+    Invalid,
+}
+
 /// Values from the status and headers of a target's reply.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReplyHead<'a> {
     /// Id of the request that the reply belongs to, if given.
     pub id: Option<&'a str>,
@@ -35,6 +48,8 @@
     /// Time for which a target that refused the request wants none from this
     /// node.
     pub quiet_for: Option<Duration>,
+    /// Rate of calls that the target takes from all nodes together.
+    pub limit: StatedLimit,
 }
 
 /// A request to the directory, which lists the nodes for a caller to use.
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -8,6 +8,7 @@
 
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Name, TargetEntry};
+use heatherrun_kernel::site::StatedLimit;
 use heatherrun_kernel::time::micros;
 
 /// Inverse weight of one reply in the moving average of the latency.
@@ -64,6 +65,12 @@
 /// Maximum time that a failing or unresponsive target is avoided.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
+/// Value of [`Target::limit`] of a target that named no limit.
+const NO_LIMIT: u64 = u64::MAX;
+
+/// Unit of [`Target::limit`]: calls per second are counted in thousandths.
+const LIMIT_UNITS_PER_CALL: f64 = 1_000.0;
+
 /// Network distance of a target from this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -91,6 +98,20 @@
     pub is_leaving: bool,
     /// End of the time in which it wants no calls from this node.
     pub quiet_until: Time,
+    /// Limit that it named, in thousandths of a call per second, and when the
+    /// call was sent that it last named it to.
+    limit: Option<(u64, Time)>,
+}
+
+/// Effect of a reply on the limit of its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitChange {
+    /// Nothing that matters.
+    None,
+    /// It named a limit, or another one than before.
+    Named,
+    /// It no longer names a limit.
+    Ended,
 }
 
 impl Distance {
@@ -150,6 +171,11 @@
     next_cold: AtomicU64,
     /// Running and queued calls as the target last reported.
     reported_load: AtomicU32,
+    /// Rate that it takes from all nodes together, in thousandths of a call per
+    /// second; [`NO_LIMIT`] if it named none.
+    limit: AtomicU64,
+    /// When the latest call was sent to which it named the limit.
+    limit_sent: AtomicU64,
 }
 
 impl Target {
@@ -177,6 +203,8 @@
             failure_at: AtomicU64::new(0),
             next_cold: AtomicU64::new(0),
             reported_load: AtomicU32::new(0),
+            limit: AtomicU64::new(NO_LIMIT),
+            limit_sent: AtomicU64::new(0),
             entry,
         };
         target.set_warmup(now, target.entry.warmup);
@@ -228,6 +256,10 @@
         self.leaving.store(told.is_leaving, Ordering::Relaxed);
         self.quiet_until
             .store(told.quiet_until.0, Ordering::Relaxed);
+        if let Some((limit, sent_at)) = told.limit {
+            self.limit.store(limit, Ordering::Relaxed);
+            self.limit_sent.store(sent_at.0, Ordering::Relaxed);
+        }
     }
 
     /// What the target said of itself in replies.
@@ -236,9 +268,57 @@
         Told {
             is_leaving: self.leaving.load(Ordering::Relaxed),
             quiet_until: Time(self.quiet_until.load(Ordering::Relaxed)),
+            limit: self.named_limit().map(|limit| {
+                let sent_at = self.limit_sent.load(Ordering::Relaxed);
+                (limit, Time(sent_at))
+            }),
+        }
+    }
+
+    /// Records what the reply to a call sent at `sent_at` says of the limit.
+    ///
+    /// Replies arrive in any order, so only the reply to a later call than
+    /// those that named the limit ends it.
+    pub fn record_limit(&self, sent_at: Time, stated: StatedLimit) -> LimitChange {
+        match stated {
+            StatedLimit::Invalid => LimitChange::None,
+            StatedLimit::PerSec(per_sec) => {
+                self.limit_sent.fetch_max(sent_at.0, Ordering::Relaxed);
+                #[expect(
+                    clippy::cast_possible_truncation,
+                    clippy::cast_sign_loss,
+                    reason = "not negative; a larger rate than u64 is no limit"
+                )]
+                let limit = (per_sec * LIMIT_UNITS_PER_CALL) as u64;
+                if self.limit.swap(limit, Ordering::Relaxed) == limit {
+                    return LimitChange::None;
+                }
+                LimitChange::Named
+            }
+            StatedLimit::None => {
+                let is_newer = sent_at.0 > self.limit_sent.load(Ordering::Relaxed);
+                if !is_newer || self.limit.swap(NO_LIMIT, Ordering::Relaxed) == NO_LIMIT {
+                    return LimitChange::None;
+                }
+                LimitChange::Ended
+            }
         }
     }
 
+    /// Calls per second that the target takes from all nodes together; `None`
+    /// if it names no limit.
+    #[must_use]
+    pub fn limit_per_sec(&self) -> Option<f64> {
+        #[expect(clippy::cast_precision_loss, reason = "a rate, not a count")]
+        let per_sec = |limit: u64| limit as f64 / LIMIT_UNITS_PER_CALL;
+        self.named_limit().map(per_sec)
+    }
+
+    fn named_limit(&self) -> Option<u64> {
+        let limit = self.limit.load(Ordering::Relaxed);
+        (limit != NO_LIMIT).then_some(limit)
+    }
+
     /// Whether the target may be sent new calls: it is neither draining,
     /// leaving nor gone.
     #[must_use]
