A limit that a searcher names is shared out among the nodes

Callers saw nothing.

The slow start shared the class: a floor of one call a minute for each node, and unused slots that stayed open, let many nodes exceed together what each kept to.

Change: one pace for slow starts and limits. Without a slot a call goes to another searcher, waits if a slot opens in time, or its shard is left out or the request refused at once with cause limited.

Why it works: the shares of all nodes add up to the limit, and the spread of the slots keeps the sum in any window near it.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -164,7 +164,9 @@
     let elapsed = now.since(start);
     if call_to_send.target.limit_per_sec().is_some() {
         let service = &call_to_send.target.entry.service;
-        state.metrics.record_limited_call(service, call_to_send.reason);
+        state
+            .metrics
+            .record_limited_call(service, call_to_send.reason);
     }
     let entry = &call_to_send.target.entry;
     state.metrics.record_call(&CallSample {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,9 +12,10 @@
 use heatherrun_kernel::time::micros;
 use heatherrun_ports::http_reply::{Fault, Reply, plain};
 use heatherrun_ports::http_server::{ConnectionNote, Received};
-use heatherrun_routing::choice::{self, Choice, ChoiceConstraints};
+use heatherrun_routing::choice::{self, Choice, ChoiceConstraints, Hold};
 use heatherrun_routing::crash_detector;
 use heatherrun_routing::fleet::Services;
+use heatherrun_routing::pacer::Pace;
 use heatherrun_routing::plan::{CallerPath, Plan};
 use heatherrun_routing::route_stats::RouteLatency;
 use heatherrun_routing::scatter::{
@@ -45,6 +46,10 @@
 /// the store, targets are known again within two seconds.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Maximum `Retry-After` of requests whose targets take a limited rate: another
+/// node may have a share of it left much earlier than this one.
+const MAX_RATE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// `Retry-After` of banned requests: the interval between trials of one.
 const BANNED_RETRY_AFTER: Duration = crash_detector::TRIAL_INTERVAL;
 
@@ -229,7 +234,12 @@
         &self,
         call_to_send: CallToSend,
     ) -> impl Future<Output = EndedCall> + std::marker::Send + 'static {
-        let max_connections = usize::from(self.max_calls(&call_to_send.target));
+        let target = &call_to_send.target;
+        let now = self.state.clock.now();
+        if let Some(pace) = self.pace(now, target) {
+            target.pacer.record_call(now, pace);
+        }
+        let max_connections = usize::from(self.max_calls(target));
         calls::send_call(
             Arc::clone(&self.state),
             Arc::clone(&self.outgoing),
@@ -257,7 +267,10 @@
         let constraints = ChoiceConstraints {
             regions: &self.route.regions,
             is_excluded: &|domain| out_domains.contains(domain),
-            admit_cold: &|target| self.admit_cold_call(now, target),
+            next_call: &|target| {
+                let pace = self.pace(now, target);
+                pace.map_or(now, |pace| target.pacer.next_call(now, pace))
+            },
             max_calls: &|target| u32::from(self.max_calls(target)),
         };
         let context = Context {
@@ -293,22 +306,24 @@
         match choice::choose(now, targets, tried, constraints) {
             Choice::Target(target) => TargetChoice::Target(Arc::clone(target)),
             Choice::AtCapacity => TargetChoice::AtCapacity,
-            Choice::Quiet(until) => TargetChoice::Quiet(until),
+            Choice::Held(until, hold) => TargetChoice::Held(until, hold),
             Choice::NoTarget => TargetChoice::NoTarget,
         }
     }
 
-    /// Whether this node may send one more call to a target in slow start,
-    /// within its share of the target's request rate; counts the call if so.
-    fn admit_cold_call(&self, now: Time, target: &Target) -> bool {
+    /// Pace of this node's calls to a target that takes a limited rate from all
+    /// nodes together; `None` for any other target.
+    fn pace(&self, now: Time, target: &Target) -> Option<Pace> {
+        let is_cold = target.is_cold(now);
+        if !is_cold && target.limit_per_sec().is_none() {
+            return None;
+        }
         let service = self.table.service(&target.entry.service);
-        let Some(cold_start) = service.and_then(|s| s.cold) else {
-            return true;
-        };
-        target.admit_cold_call(
-            now,
-            cold_start.per_sec * self.state.shares.load().total_share,
-        )
+        let cold = service.and_then(|s| s.cold).filter(|_| is_cold);
+        self.state
+            .shares
+            .load()
+            .pace(target, cold.map(|c| c.per_sec))
     }
 
     fn build_reply(
@@ -420,13 +435,16 @@
             );
         }
         if not_run {
-            let quiet_for = scatter.quiet_until().map(|until| until.time_left(now));
+            let held_for = scatter.held().map(|(until, hold)| match hold {
+                Hold::Quiet => until.time_left(now),
+                Hold::Rate => until.time_left(now).min(MAX_RATE_RETRY_AFTER),
+            });
             let least = if cause == Cause::NoTarget {
                 NO_TARGET_RETRY_AFTER
             } else {
                 NOT_RUN_RETRY_AFTER
             };
-            let retry_after = quiet_for.unwrap_or_default().max(least);
+            let retry_after = held_for.unwrap_or_default().max(least);
             return reply::not_run(cause.name(), retry_after);
         }
         let error_reply = match self.max_records {
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -29,13 +29,22 @@
     pub regions: &'a [Name],
     /// Whether operators took the failure domain out of service.
     pub is_excluded: &'a dyn Fn(&str) -> bool,
-    /// Admits one call to a cold target; false when its current capacity is
-    /// used up.
-    pub admit_cold: &'a dyn Fn(&Target) -> bool,
+    /// When this node may send the target its next call, if the target takes a
+    /// limited rate; at most the current time if it may be sent now.
+    pub next_call: &'a dyn Fn(&Target) -> Time,
     /// Maximum number of calls of this node in flight to the target.
     pub max_calls: &'a dyn Fn(&Target) -> u32,
 }
 
+/// Why targets are sent no calls until some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Hold {
+    /// They want no calls.
+    Quiet,
+    /// They take a limited rate, and this node's share of it is used up.
+    Rate,
+}
+
 /// Result of the choice.
 #[derive(Debug)]
 pub enum Choice<'a> {
@@ -43,9 +52,9 @@
     Target(&'a Arc<Target>),
     /// All targets that may serve the request are at their limit.
     AtCapacity,
-    /// All targets that may serve the request want no calls; the first of them
-    /// takes calls again at this time.
-    Quiet(Time),
+    /// No target that may serve the request may be sent a call now; the first
+    /// of them may at this time.
+    Held(Time, Hold),
     /// No target may serve the request.
     NoTarget,
 }
@@ -61,13 +70,13 @@
 ) -> Choice<'a> {
     let mut best: Option<(u64, &Arc<Target>)> = None;
     let mut any_full = false;
-    let mut quiet_until: Option<Time> = None;
+    let mut held: Option<(Time, Hold)> = None;
     for target in targets {
         if tried.contains(&target.entry.id) || !may_serve(target, constraints) {
             continue;
         }
-        if let Some(until) = target.quiet_until(now) {
-            quiet_until = Some(quiet_until.map_or(until, |first| first.min(until)));
+        if let Some(hold) = hold(now, target, constraints) {
+            held = Some(held.map_or(hold, |first| first.min(hold)));
             continue;
         }
         if target.in_flight() >= (constraints.max_calls)(target) {
@@ -79,16 +88,21 @@
             best = Some((score, target));
         }
     }
-    match best {
-        // Cold targets rank behind warm ones: every other target is at its
-        // limit or must not be called.
-        Some((_, target)) if target.is_cold(now) && !(constraints.admit_cold)(target) => {
-            Choice::AtCapacity
-        }
-        Some((_, target)) => Choice::Target(target),
-        None if any_full => Choice::AtCapacity,
-        None => quiet_until.map_or(Choice::NoTarget, Choice::Quiet),
+    match (best, held) {
+        (Some((_, target)), _) => Choice::Target(target),
+        (None, _) if any_full => Choice::AtCapacity,
+        (None, Some((until, reason))) => Choice::Held(until, reason),
+        (None, None) => Choice::NoTarget,
+    }
+}
+
+/// Until when the target may not be sent a call, and why; `None` if it may now.
+fn hold(now: Time, target: &Target, constraints: &ChoiceConstraints<'_>) -> Option<(Time, Hold)> {
+    if let Some(until) = target.quiet_until(now) {
+        return Some((until, Hold::Quiet));
     }
+    let next_call = (constraints.next_call)(target);
+    (next_call > now).then_some((next_call, Hold::Rate))
 }
 
 /// Whether the target may be sent new calls of the request.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fleet;
 pub mod members;
 pub mod merge;
+pub mod pacer;
 pub mod plan;
 pub mod route_stats;
 pub mod scatter;
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -10,6 +10,7 @@
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Name, Repeat};
 
+use crate::choice::Hold;
 use crate::plan::Plan;
 use crate::target::Target;
 
@@ -74,6 +75,8 @@
     AtCapacity,
     /// All targets want no calls for some time.
     Quiet,
+    /// All targets take a limited rate, and this node's share of it is used up.
+    Limited,
     /// The request could not be sent to a target.
     NotSent,
     /// A target refused the request without running it.
@@ -86,6 +89,15 @@
     Lost,
 }
 
+impl From<Hold> for Cause {
+    fn from(hold: Hold) -> Self {
+        match hold {
+            Hold::Quiet => Self::Quiet,
+            Hold::Rate => Self::Limited,
+        }
+    }
+}
+
 impl Cause {
     /// Name in logs and metrics.
     #[must_use]
@@ -94,6 +106,7 @@
             Self::NoTarget => "no-target",
             Self::AtCapacity => "no-room",
             Self::Quiet => "quiet",
+            Self::Limited => "limited",
             Self::NotSent => "not-sent",
             Self::Refused => "refused",
             Self::Late => "late",
@@ -161,8 +174,8 @@
     Target(Arc<Target>),
     /// All targets that may serve the request are at their concurrency limit.
     AtCapacity,
-    /// All targets that may serve the request want no calls until this time.
-    Quiet(Time),
+    /// No target that may serve the request may be sent a call before this time.
+    Held(Time, Hold),
     /// No target may serve the request.
     NoTarget,
 }
@@ -209,8 +222,8 @@
     part: Option<CallIx>,
     /// Greatest cause of failure so far.
     cause: Option<Cause>,
-    /// When its targets take calls again, if all of them wanted none.
-    quiet_until: Option<Time>,
+    /// When the first of its targets may be sent a call, and why none may now.
+    held: Option<(Time, Hold)>,
 }
 
 impl ShardState {
@@ -398,9 +411,13 @@
                 shard.cause.get_or_insert(Cause::AtCapacity);
                 return;
             }
-            TargetChoice::Quiet(until) => {
-                shard.cause.get_or_insert(Cause::Quiet);
-                shard.quiet_until = Some(until);
+            TargetChoice::Held(until, _) if until < self.plan.capacity_by => {
+                shard.retry_at = Some(until.max(now + CAPACITY_RETRY_DELAY));
+                return;
+            }
+            TargetChoice::Held(until, hold) => {
+                shard.cause.get_or_insert(hold.into());
+                shard.held = Some((until, hold));
                 return;
             }
             TargetChoice::NoTarget
@@ -497,7 +514,13 @@
         }
         let retry_at = Some(now + CAPACITY_RETRY_DELAY);
         match (cx.choose)(ix, &shard.tried) {
-            TargetChoice::NoTarget | TargetChoice::Quiet(_) => {}
+            TargetChoice::NoTarget => {}
+            TargetChoice::Held(until, _) => {
+                let is_useful = until < self.plan.answer_by;
+                shard.hedge_at = is_useful
+                    .then_some(until)
+                    .max(retry_at.filter(|_| is_useful));
+            }
             TargetChoice::Target(target) if !target.is_queueing(now) && !target.is_avoided(now) => {
                 // An overdue call counts as having reached its target.
                 shard.reached_target = true;
@@ -553,19 +576,20 @@
         (expired || cannot_answer).then(|| self.failure(cannot_answer && !expired))
     }
 
-    /// When enough of the targets that want no calls take them again; `None`
-    /// when that is not what the request lacks.
+    /// When enough of the shards whose targets may not be sent calls now have
+    /// one that may, and why not now; `None` when that is not what the request
+    /// lacks.
     #[must_use]
-    pub fn quiet_until(&self) -> Option<Time> {
+    pub fn held(&self) -> Option<(Time, Hold)> {
         let missing = self.shards.iter().filter(|s| s.part.is_none());
-        let mut ends: Vec<_> = missing.filter_map(|s| s.quiet_until).collect();
-        ends.sort_unstable();
-        let available = self.shards.len() - ends.len();
-        let needed = (1..=ends.len()).find(|n| self.meets_min_share(available + n))?;
+        let mut holds: Vec<_> = missing.filter_map(|s| s.held).collect();
+        holds.sort_unstable();
+        let available = self.shards.len() - holds.len();
+        let needed = (1..=holds.len()).find(|n| self.meets_min_share(available + n))?;
         if self.meets_min_share(available) {
             return None;
         }
-        ends.get(needed - 1).copied()
+        holds.get(needed - 1).copied()
     }
 
     /// Whether this number of answered shards makes an answer.
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -11,6 +11,8 @@
 use heatherrun_kernel::site::StatedLimit;
 use heatherrun_kernel::time::micros;
 
+use crate::pacer::Pacer;
+
 /// Inverse weight of one reply in the moving average of the latency.
 const LATENCY_WEIGHT_DIVISOR: u64 = 6;
 
@@ -55,9 +57,6 @@
 /// Inverse weight of one call in the moving average of the failure rate.
 const FAILURE_WEIGHT_DIVISOR: u64 = 8;
 
-/// Maximum interval between two calls to a cold target.
-const MAX_COLD_INTERVAL_SECS: f64 = 60.0;
-
 /// Maximum time for which a target is left alone at its own wish. A longer one
 /// is taken for a mistake.
 const MAX_QUIET_TIME: Duration = Duration::from_mins(1);
@@ -68,6 +67,10 @@
 /// Value of [`Target::limit`] of a target that named no limit.
 const NO_LIMIT: u64 = u64::MAX;
 
+/// Lowest limit that is kept. Without any call, the end of a limit of zero would
+/// go unnoticed.
+const MIN_LIMIT_PER_SEC: f64 = 0.2;
+
 /// Unit of [`Target::limit`]: calls per second are counted in thousandths.
 const LIMIT_UNITS_PER_CALL: f64 = 1_000.0;
 
@@ -136,6 +139,8 @@
     pub region: Name,
     /// Distance from this node.
     pub distance: Distance,
+    /// Slots for the calls of this node while the target takes a limited rate.
+    pub pacer: Pacer,
     /// Sequence number of the newest report.
     report_count: AtomicU64,
     draining: AtomicBool,
@@ -167,8 +172,6 @@
     /// decays with time.
     failure_permille: AtomicU64,
     failure_at: AtomicU64,
-    /// When a cold target may be sent its next call.
-    next_cold: AtomicU64,
     /// Running and queued calls as the target last reported.
     reported_load: AtomicU32,
     /// Rate that it takes from all nodes together, in thousandths of a call per
@@ -185,6 +188,7 @@
         let target = Self {
             region: location.region,
             distance: location.distance,
+            pacer: Pacer::default(),
             report_count: AtomicU64::new(entry.report_seq),
             draining: AtomicBool::new(entry.draining),
             leaving: AtomicBool::new(false),
@@ -201,7 +205,6 @@
             last_sent: AtomicU64::new(0),
             failure_permille: AtomicU64::new(0),
             failure_at: AtomicU64::new(0),
-            next_cold: AtomicU64::new(0),
             reported_load: AtomicU32::new(0),
             limit: AtomicU64::new(NO_LIMIT),
             limit_sent: AtomicU64::new(0),
@@ -305,12 +308,12 @@
         }
     }
 
-    /// Calls per second that the target takes from all nodes together; `None`
-    /// if it names no limit.
+    /// Calls per second that the target takes from all nodes together, at least
+    /// [`MIN_LIMIT_PER_SEC`]; `None` if it names no limit.
     #[must_use]
     pub fn limit_per_sec(&self) -> Option<f64> {
         #[expect(clippy::cast_precision_loss, reason = "a rate, not a count")]
-        let per_sec = |limit: u64| limit as f64 / LIMIT_UNITS_PER_CALL;
+        let per_sec = |limit: u64| (limit as f64 / LIMIT_UNITS_PER_CALL).max(MIN_LIMIT_PER_SEC);
         self.named_limit().map(per_sec)
     }
 
@@ -470,24 +473,6 @@
         self.failure_at.store(now.0, Ordering::Relaxed);
     }
 
-    /// Admits one call to a cold target; false when this node's share of
-    /// `per_sec` calls a second is used up.
-    pub fn admit_cold_call(&self, now: Time, per_sec: f64) -> bool {
-        if per_sec <= 0.0 {
-            return false;
-        }
-        let interval = Duration::from_secs_f64((1.0 / per_sec).min(MAX_COLD_INTERVAL_SECS));
-        let next = self.next_cold.load(Ordering::Relaxed);
-        if now.0 < next {
-            return false;
-        }
-        let following = (now + interval).0;
-        let swapped =
-            self.next_cold
-                .compare_exchange(next, following, Ordering::Relaxed, Ordering::Relaxed);
-        swapped.is_ok()
-    }
-
     /// Records a failed call; a target is avoided for longer with each
     /// consecutive failure.
     pub fn record_failure(&self, now: Time) {
