--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -146,6 +146,7 @@
     let now = state.clock.now();
     let (end, reply) = match result {
         Ok(reply) => {
+            state.record_reply(now);
             let end = classify_reply(
                 &state,
                 &outgoing,
@@ -156,7 +157,7 @@
             (end, Some(reply))
         }
         Err(error) => {
-            let end = record_failure(&call_to_send.target, now, error);
+            let end = record_failure(&state, &call_to_send.target, now, error);
             record_possible_crash(&state, &outgoing, &call_to_send.target, now, error);
             (end, None)
         }
@@ -267,17 +268,23 @@
 
 /// Maps a failed exchange to the end of its call, and records a failure on
 /// the target if the target may have caused it.
-fn record_failure(target: &Target, now: Time, error: ExchangeError) -> CallEnd {
+fn record_failure(state: &State, target: &Target, now: Time, error: ExchangeError) -> CallEnd {
     match error {
         // The connection limit and the deadline are this node's own and say
         // nothing about the target.
         ExchangeError::Full | ExchangeError::Expired | ExchangeError::Withdrawn => CallEnd::NotSent,
         ExchangeError::NotSent | ExchangeError::Refused => {
             target.record_failure(now);
+            state.record_silence(now, target);
             CallEnd::NotSent
         }
         ExchangeError::NoMemory => CallEnd::Lost,
-        ExchangeError::Lost | ExchangeError::TimedOut | ExchangeError::BadReply => {
+        ExchangeError::Lost | ExchangeError::TimedOut => {
+            target.record_failure(now);
+            state.record_silence(now, target);
+            CallEnd::Lost
+        }
+        ExchangeError::BadReply => {
             target.record_failure(now);
             CallEnd::Lost
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use crate::roster::RosterWriter;
 use crate::state::{Deployment, State};
 use crate::store_sync::StoreSync;
-use crate::{endpoints, join, relay, serve, supervise};
+use crate::{endpoints, join, link_probe, relay, serve, supervise};
 
 /// Maximum size of a caller's request body; the configuration sets a lower
 /// limit.
@@ -176,6 +176,8 @@
         let own = of(state);
         supervise::spawn("clock", move || watch_clock(of(&own)));
         let own = of(state);
+        supervise::spawn("link-probe", move || link_probe::run(of(&own)));
+        let own = of(state);
         supervise::spawn("relay", move || relay::serve(Arc::clone(&peers), of(&own)));
         let own = of(state);
         supervise::spawn("join", move || join::run(of(&own)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod endpoints;
 pub mod gateway;
 pub mod join;
+pub mod link_probe;
 pub mod log_throttle;
 pub mod metrics;
 pub mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,7 +13,7 @@
 use heatherrun_routing::scatter::{CallEnd, Reason};
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -38,6 +38,7 @@
     calls: IntCounterVec,
     reply_seconds: HistogramVec,
     limited_calls: IntCounterVec,
+    links_down: IntGauge,
     /// Configured names that have series of their own.
     label_names: Mutex<HashSet<Name>>,
 }
@@ -79,14 +80,20 @@
                 "calls to targets that name a limit, by service and reason",
                 &["service", "reason"],
             ),
+            links_down: IntGauge::new(
+                "heatherrun_links_down",
+                "1 while this node reaches no target",
+            )
+            .expect(valid),
             label_names: Mutex::default(),
         };
-        let collectors: [Box<dyn Collector>; 5] = [
+        let collectors: [Box<dyn Collector>; 6] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.answer_seconds.clone()),
             Box::new(metrics.calls.clone()),
             Box::new(metrics.reply_seconds.clone()),
             Box::new(metrics.limited_calls.clone()),
+            Box::new(metrics.links_down.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).expect(valid);
@@ -142,6 +149,11 @@
         self.limited_calls.with_label_values(&labels).inc();
     }
 
+    /// Records whether this node reaches no target.
+    pub fn set_links_down(&self, is_down: bool) {
+        self.links_down.set(i64::from(is_down));
+    }
+
     /// Label value for `name`: the name itself, or the shared one once
     /// [`MAX_LABEL_NAMES`] others have series.
     fn label<'a>(&self, name: &'a Name) -> &'a str {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -289,6 +289,7 @@
                     .route_latency
                     .hedge_delay(target, self.route.objective)
             },
+            record_overdue: &|target| state.record_silence(now, target),
         };
         decide(&context)
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,13 +21,14 @@
 use heatherrun_routing::extra_calls::ExtraCallLimit;
 use heatherrun_routing::feed::{Delta, Feed, Item, ItemRules, Position};
 use heatherrun_routing::fleet::{Change, Fleet, LAPSE_GRACE, Services};
+use heatherrun_routing::links::Links;
 use heatherrun_routing::members::{
     Members, Place, Report, Roster, first_of_domains, hash_nodes, place,
 };
 use heatherrun_routing::route_stats::RouteStats;
 use heatherrun_routing::shares::Shares;
 use heatherrun_routing::table::RouteTable;
-use heatherrun_routing::target::{Distance, Location};
+use heatherrun_routing::target::{Distance, Location, Target};
 
 use tokio::sync::mpsc::Receiver;
 use tokio::sync::watch;
@@ -134,6 +135,10 @@
     stop_end: watch::Sender<Option<Time>>,
     /// Changes each time the machine has been suspended.
     wakes: watch::Sender<()>,
+    /// Links of this node to the targets.
+    pub links: Links,
+    /// Changes when the links become suspect or go down.
+    link_changes: watch::Sender<()>,
     /// This node's shares of limits that apply to all nodes together.
     pub shares: ArcSwap<Shares>,
     /// What this node knows from the store.
@@ -171,6 +176,8 @@
             log_throttle: LogThrottle::default(),
             stop_end: watch::Sender::new(None),
             wakes: watch::Sender::new(()),
+            links: Links::default(),
+            link_changes: watch::Sender::new(()),
             shares: ArcSwap::default(),
             store_view: Mutex::default(),
         });
@@ -204,9 +211,46 @@
 
     /// Records that the machine has been suspended.
     pub fn record_wake(&self) {
+        self.links.record_wake();
         self.wakes.send_replace(());
     }
 
+    /// Records that a target replied.
+    pub fn record_reply(&self, now: Time) {
+        if self.links.record_reply(now) {
+            self.metrics.set_links_down(false);
+            log::info!(by = "reply"; "links.up");
+        }
+    }
+
+    /// Records that a target did not reply in time or could not be reached.
+    pub fn record_silence(&self, now: Time, target: &Target) {
+        if self.links.record_silence(now, &target.entry.id) {
+            log::info!(silent_us = self.links.silent_for(now); "links.suspect");
+            self.link_changes.send_replace(());
+        }
+    }
+
+    /// Records whether a target accepted a connection that was opened to try the
+    /// links.
+    pub fn record_probe(&self, now: Time, is_reachable: bool) {
+        if is_reachable && self.links.record_reachable(now) {
+            self.metrics.set_links_down(false);
+            log::info!(by = "connection"; "links.up");
+        }
+        if !is_reachable && self.links.record_unreachable() {
+            self.metrics.set_links_down(true);
+            log::warn!(silent_us = self.links.silent_for(now); "links.down");
+            self.link_changes.send_replace(());
+        }
+    }
+
+    /// Subscribes to the links becoming suspect or going down.
+    #[must_use]
+    pub fn link_changes(&self) -> watch::Receiver<()> {
+        self.link_changes.subscribe()
+    }
+
     /// Subscribes to the ends of suspensions.
     #[must_use]
     pub fn wakes(&self) -> watch::Receiver<()> {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod extra_calls;
 pub mod feed;
 pub mod fleet;
+pub mod links;
 pub mod members;
 pub mod merge;
 pub mod pacer;
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -190,6 +190,8 @@
     pub take_extra: &'a dyn Fn(RequestShard) -> bool,
     /// Delay after which a call to the target is overdue and is hedged.
     pub hedge_delay: &'a dyn Fn(&Target) -> Duration,
+    /// Records that a call to the target is overdue.
+    pub record_overdue: &'a dyn Fn(&Target),
 }
 
 #[derive(Clone, Debug)]
@@ -508,6 +510,7 @@
         shard.hedge_at = None;
         for call in &shard.in_flight {
             call.target.record_overdue(now, call.sent_at);
+            (cx.record_overdue)(&call.target);
         }
         if !attempts_left || shard.in_flight.is_empty() {
             return;
