A node that has lost its links to the searchers forwards its requests

Cause: a node had nobody but the searchers to send a request to, and went on sending to them. Class: a fault of one's own taken for one of all others.

Change: while a node's links are down it forwards whole requests to another node over the RPC port, which serves them like its own and never forwards them again. Requests in hand go along if they may still run; those that cannot be sent for other reasons are tried at another node as well, 16 at a time. A request carries its time, attempts and budget. Without any node that can serve it is refused at once as not run. After the cut a node takes up its own requests over one second. No hedges while the links are suspect, since they would use up the attempts. Responses of the RPC server run concurrently.

Why it works: the searchers' other replicas of reachability are the nodes that still have links, and these see the request within a hop.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,6 +46,9 @@
 /// Shortest suspension that open requests are told of.
 const MIN_SUSPENSION: Duration = Duration::from_millis(50);
 
+/// Interval between checks whether requests of other nodes are finished.
+const FORWARD_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Part of the stop's time limit, in per cent, during which requests are still
 /// accepted: callers keep using the address for a while.
 const STOP_ACCEPT_PERCENT: u32 = 70;
@@ -217,7 +220,14 @@
         tokio::time::sleep(limit * STOP_ACCEPT_PERCENT / 100).await;
         log::info!("stop.closing");
         self.phase.send_replace(Phase::Close);
-        tokio::time::timeout_at(end, self.callers).await.is_ok()
+        let ending = async {
+            let ended = self.callers.await;
+            while !self.state.forwarder.is_idle() {
+                tokio::time::sleep(FORWARD_CHECK_INTERVAL).await;
+            }
+            ended
+        };
+        tokio::time::timeout_at(end, ending).await.is_ok()
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod calls;
 pub mod crash_tracker;
 pub mod endpoints;
+pub mod forward;
 pub mod gateway;
 pub mod join;
 pub mod link_probe;
--- a/crates/gateway/src/link_probe.rs
+++ b/crates/gateway/src/link_probe.rs
@@ -18,6 +18,10 @@
 /// Interval between two probes while the links are down.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which connections to other nodes are closed while the links are
+/// up.
+const RELEASE_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Tries the links whenever they are suspect or down; never returns.
 pub async fn run(state: Arc<State>) {
     let mut changes = state.link_changes();
@@ -26,8 +30,9 @@
             Phase::Suspect => CONCURRENT_PROBES,
             Phase::Down => 1,
             Phase::Up | Phase::Returning(_) => {
-                if changes.changed().await.is_err() {
-                    return;
+                let waiting = tokio::time::timeout(RELEASE_INTERVAL, changes.changed());
+                if waiting.await.is_err() {
+                    state.forwarder.release();
                 }
                 continue;
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,7 @@
     reply_seconds: HistogramVec,
     limited_calls: IntCounterVec,
     links_down: IntGauge,
+    forwards: IntCounterVec,
     /// Configured names that have series of their own.
     label_names: Mutex<HashSet<Name>>,
 }
@@ -85,15 +86,21 @@
                 "1 while this node reaches no target",
             )
             .expect(valid),
+            forwards: counter(
+                "heatherrun_forwards_total",
+                "requests forwarded to other nodes, by end",
+                &["end"],
+            ),
             label_names: Mutex::default(),
         };
-        let collectors: [Box<dyn Collector>; 6] = [
+        let collectors: [Box<dyn Collector>; 7] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.answer_seconds.clone()),
             Box::new(metrics.calls.clone()),
             Box::new(metrics.reply_seconds.clone()),
             Box::new(metrics.limited_calls.clone()),
             Box::new(metrics.links_down.clone()),
+            Box::new(metrics.forwards.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).expect(valid);
@@ -154,6 +161,11 @@
         self.links_down.set(i64::from(is_down));
     }
 
+    /// Records a request that was forwarded to other nodes, and its end.
+    pub fn record_forward(&self, end: &str) {
+        self.forwards.with_label_values(&[end]).inc();
+    }
+
     /// Label value for `name`: the name itself, or the shared one once
     /// [`MAX_LABEL_NAMES`] others have series.
     fn label<'a>(&self, name: &'a Name) -> &'a str {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,12 +1,16 @@
 //! RPC between nodes over `tarpc`: changes of the store, the nodes that there
-//! are, and suspicions against crash-causing requests. It keeps the number of
+//! are, suspicions against crash-causing requests, and requests of a node that
+//! has lost its links to the targets. It keeps the number of
 //! nodes that read the store low, and a node that the store rejects still
 //! receives the changes.
 
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -17,6 +21,7 @@
 use heatherrun_routing::feed::{Delta, Position};
 use heatherrun_routing::members::Report;
 use serde::{Deserialize, Serialize};
+use tarpc::client::NewClient;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context, serde_transport};
@@ -24,6 +29,8 @@
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc::Receiver;
 
+use crate::forward::{ForwardReply, ForwardedRequest};
+use crate::serve;
 use crate::state::State;
 
 /// Maximum wait for the reply of another node. A node in another region takes
@@ -71,6 +78,8 @@
     async fn join(node: NodeEntry) -> Vec<NodeEntry>;
     /// Reports a request that crashed a target, or that a request was cleared.
     async fn report_suspicion(suspicion: Suspicion);
+    /// Serves a request of a node that has lost its links to the targets.
+    async fn forward(request: ForwardedRequest) -> ForwardReply;
 }
 
 #[derive(Clone)]
@@ -100,6 +109,10 @@
     async fn report_suspicion(self, _: context::Context, suspicion: Suspicion) {
         apply_suspicion(&self.state, suspicion);
     }
+
+    async fn forward(self, _: context::Context, request: ForwardedRequest) -> ForwardReply {
+        serve::handle_forwarded(self.state, request).await
+    }
 }
 
 /// Applies a suspicion of another node, and keeps it for the nodes below.
@@ -130,7 +143,11 @@
         tokio::spawn(async move {
             let channel = BaseChannel::with_defaults(transport);
             let responses = channel.execute(server.serve());
-            responses.for_each(|response| response).await;
+            responses
+                .for_each(|response| async {
+                    tokio::spawn(response);
+                })
+                .await;
             drop(slot);
         });
     }
@@ -166,15 +183,57 @@
     }
 }
 
+/// Why a forwarded request got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ForwardError {
+    /// The node cannot be reached.
+    #[error("no connection to the node; ask another one")]
+    NotSent,
+    /// No answer came.
+    #[error("no answer of the node; the request may have run")]
+    Lost,
+}
+
+/// Connection to another node.
+#[derive(Clone)]
+struct PeerConnection {
+    client: RelayClient,
+    /// Set when the connection has ended.
+    ended: Arc<AtomicBool>,
+}
+
 /// RPC clients of the other nodes, by address.
 #[derive(Default)]
 pub struct PeerClients {
-    clients: Mutex<HashMap<SocketAddr, RelayClient>>,
+    connections: Mutex<HashMap<SocketAddr, PeerConnection>>,
 }
 
 impl PeerClients {
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, RelayClient>> {
-        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, PeerConnection>> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Forwards a request to the node at `address`.
+    ///
+    /// # Errors
+    /// The [`ForwardError`] says whether the request may have run.
+    pub async fn forward(
+        &self,
+        address: SocketAddr,
+        request: ForwardedRequest,
+        timeout: Duration,
+    ) -> Result<ForwardReply, ForwardError> {
+        let connecting = tokio::time::timeout(REPLY_TIMEOUT.min(timeout), self.client(address));
+        let client = connecting.await.ok().flatten();
+        let client = client.ok_or(ForwardError::NotSent)?;
+        let answer = client.forward(rpc_context(timeout), request).await;
+        answer.map_err(|e| {
+            log::info!(peer:% = address, reason:% = e; "forward.lost");
+            self.lock().remove(&address);
+            ForwardError::Lost
+        })
     }
 
     /// Requests changes from the node at `address`; `None` when it does not
@@ -235,16 +294,26 @@
     async fn client(&self, address: SocketAddr) -> Option<RelayClient> {
         let existing = self.lock().get(&address).cloned();
         match existing {
-            Some(client) => Some(client),
-            None => self.connect(address).await,
+            Some(known) if !known.ended.load(Ordering::Acquire) => Some(known.client),
+            _ => self.connect(address).await,
         }
     }
 
     async fn connect(&self, address: SocketAddr) -> Option<RelayClient> {
         let stream = TcpStream::connect(address).await.ok()?;
         let transport = serde_transport::new(frames(stream), Bincode::default());
-        let client = RelayClient::new(client::Config::default(), transport).spawn();
-        self.lock().insert(address, client.clone());
+        let NewClient { client, dispatch } = RelayClient::new(client::Config::default(), transport);
+        let ended = Arc::<AtomicBool>::default();
+        let connection = PeerConnection {
+            client: client.clone(),
+            ended: Arc::clone(&ended),
+        };
+        tokio::spawn(async move {
+            // Those who wait for a reply learn of an error from their calls.
+            let _ = dispatch.await;
+            ended.store(true, Ordering::Release);
+        });
+        self.lock().insert(address, connection);
         Some(client)
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -8,13 +8,14 @@
 use bytes::Bytes;
 use futures::stream::{FuturesUnordered, StreamExt};
 use heatherrun_kernel::Time;
-use heatherrun_kernel::routes::{Destination, Name, Route};
+use heatherrun_kernel::routes::{Destination, Name, Repeat, Route};
 use heatherrun_kernel::time::micros;
 use heatherrun_ports::http_reply::{Fault, Reply, plain};
 use heatherrun_ports::http_server::{ConnectionNote, Received};
 use heatherrun_routing::choice::{self, Choice, ChoiceConstraints, Hold};
 use heatherrun_routing::crash_detector;
 use heatherrun_routing::fleet::Services;
+use heatherrun_routing::links::Phase;
 use heatherrun_routing::pacer::Pace;
 use heatherrun_routing::plan::{CallerPath, Plan};
 use heatherrun_routing::route_stats::RouteLatency;
@@ -27,6 +28,7 @@
 
 use crate::calls::{self, EndedCall, OutgoingRequest};
 use crate::crash_tracker;
+use crate::forward::{ForwardReply, Forwarded, ForwardedRequest, Terms};
 use crate::log_throttle::LineKind;
 use crate::reply;
 use crate::state::State;
@@ -50,6 +52,11 @@
 /// node may have a share of it left much earlier than this one.
 const MAX_RATE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Reason and `Retry-After` of requests that neither this node nor another one
+/// can send: the links are tried several times meanwhile.
+const NO_LINKS: &str = "no-links";
+const NO_LINKS_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// `Retry-After` of banned requests: the interval between trials of one.
 const BANNED_RETRY_AFTER: Duration = crash_detector::TRIAL_INTERVAL;
 
@@ -58,11 +65,39 @@
 
 /// Handles one request of a caller.
 pub async fn handle_request(state: Arc<State>, received: Result<Received, Fault>) -> Reply {
-    let start = state.clock.now();
-    let received = match received {
+    match received {
+        Ok(received) => serve_request(state, received, None).await,
+        Err(fault) => fault.reply(),
+    }
+}
+
+/// Handles one request that another node forwards.
+pub async fn handle_forwarded(state: Arc<State>, request: ForwardedRequest) -> ForwardReply {
+    let terms = request.terms;
+    let table = state.route_table.load();
+    let is_current = table
+        .as_ref()
+        .is_some_and(|t| t.config().version >= terms.version);
+    let is_able = is_current && state.is_ready() && state.links.phase() == Phase::Up;
+    let counted = state.forwarder.accept().filter(|_| is_able);
+    if counted.is_none() {
+        return ForwardReply::Unable;
+    }
+    let received = match request.into_received() {
         Ok(received) => received,
-        Err(fault) => return fault.reply(),
+        Err(e) => {
+            log::warn!(reason:% = e; "forward.malformed");
+            return ForwardReply::Unable;
+        }
     };
+    let reply = serve_request(Arc::clone(&state), received, Some(terms)).await;
+    ForwardReply::new(reply)
+}
+
+/// Handles one request of a caller, under these terms if another node forwarded
+/// it.
+async fn serve_request(state: Arc<State>, received: Received, terms: Option<Terms>) -> Reply {
+    let start = state.clock.now();
     let Some(table) = state.route_table.load_full() else {
         state.metrics.record_rejection("unready");
         return reply::not_run("no configuration received yet", UNREADY_RETRY_AFTER);
@@ -101,10 +136,18 @@
         );
     }
     let route = route.clone();
-    let request = ActiveRequest::new(state, &table, route, received, start);
+    let request = ActiveRequest::new(state, &table, route, received, start, terms);
     request.run().await
 }
 
+/// What a request has come to at this node.
+struct Ended {
+    scatter: Scatter,
+    verdict: Verdict,
+    /// Replies by call index.
+    replies: Vec<Option<Response<Bytes>>>,
+}
+
 /// A request while it is being served.
 struct ActiveRequest {
     state: Arc<State>,
@@ -117,6 +160,10 @@
     /// goes to a single service.
     max_records: Option<usize>,
     plan: Plan,
+    path: CallerPath,
+    /// Terms under which another node forwarded the request; none if its caller
+    /// sent it to this node.
+    terms: Option<Terms>,
     outgoing: Arc<OutgoingRequest>,
     start: Time,
 }
@@ -128,6 +175,7 @@
         route: Route,
         received: Received,
         start: Time,
+        terms: Option<Terms>,
     ) -> Self {
         let (shards, max_records) = match &route.to {
             Destination::Service(service) => (vec![Arc::clone(service)], None),
@@ -142,14 +190,20 @@
             } => (services.clone(), Some(*max_records)),
         };
         let head = (state.site.parse_caller)(&received.head.headers);
-        let time_left = head.time_left.unwrap_or(route.timeout);
         let route_latency = state.route_stats.route(&route.name);
-        let path = head
-            .time_left
-            .map_or_else(CallerPath::default, |time_left| {
-                caller_path(&received, &route, time_left, &route_latency)
-            });
-        let plan = Plan::new(&route, start, time_left, path, route_latency.answer_delay());
+        let time_left = terms.map(|t| Duration::from_micros(t.time_left));
+        let time_left = time_left.or(head.time_left);
+        let path = match (terms, time_left) {
+            (Some(terms), _) => terms.path(),
+            (None, Some(time_left)) => caller_path(&received, &route, time_left, &route_latency),
+            (None, None) => CallerPath::default(),
+        };
+        let time_left = time_left.unwrap_or(route.timeout);
+        let mut plan = Plan::new(&route, start, time_left, path, route_latency.answer_delay());
+        if let Some(terms) = terms {
+            plan.attempts = plan.attempts.min(terms.attempts);
+            plan.is_repeat = terms.is_repeat;
+        }
         let outgoing = OutgoingRequest {
             id: head.id.unwrap_or_default().to_owned(),
             deadline: plan.end,
@@ -164,26 +218,120 @@
             shards,
             max_records,
             plan,
+            path,
+            terms,
             outgoing: Arc::new(outgoing),
             start,
         }
     }
 
-    /// Sends calls, hedges and retries until there is a verdict, and returns
-    /// the reply to the caller.
+    /// Serves the request here or, if this node has lost its links, at another
+    /// one, and returns the reply to the caller.
     async fn run(self) -> Reply {
+        let links = &self.state.links;
+        if self.terms.is_none() && !links.admits(self.start) {
+            let forwarded = self.forward(self.plan.attempts, false, false).await;
+            match forwarded {
+                Forwarded::Unable if links.phase() != Phase::Down => {}
+                forwarded => return self.build_forwarded(forwarded),
+            }
+        }
+        let ended = self.run_here().await;
+        if let Some(attempts) = self.attempts_elsewhere(&ended) {
+            let counted = self.state.forwarder.retry();
+            if counted.is_some() || links.phase() == Phase::Down {
+                let is_repeat = ended.scatter.may_have_run();
+                if let Forwarded::Reply(reply) = self.forward(attempts, true, is_repeat).await {
+                    return reply;
+                }
+            }
+        }
+        self.build_reply(&ended.scatter, ended.verdict, ended.replies)
+    }
+
+    /// How many targets of a shard may run the request at another node after it
+    /// ended here; `None` if it is answered, or no other node is better off.
+    fn attempts_elsewhere(&self, ended: &Ended) -> Option<u16> {
+        let Verdict::None { not_run, cause } = ended.verdict else {
+            return None;
+        };
+        let is_down = self.state.links.phase() == Phase::Down;
+        let time_left = self.plan.end.time_left(self.state.clock.now());
+        if self.terms.is_some() || time_left.is_zero() || !(is_down || cause == Cause::NotSent) {
+            return None;
+        }
+        let attempts = ended.scatter.attempts_left();
+        let may_repeat = not_run || self.plan.repeat == Repeat::Idempotent;
+        (may_repeat && attempts > 0).then_some(attempts)
+    }
+
+    /// Forwards the request to another node. `is_counted` and `is_repeat` are
+    /// those of [`Terms`].
+    async fn forward(&self, attempts: u16, is_counted: bool, is_repeat: bool) -> Forwarded {
         let state = &self.state;
         let now = state.clock.now();
-        state.route_stats.record_requests(
-            now,
-            self.shards.iter(),
-            &state.deployment.load().extra_call_limit,
-        );
+        let spent = self.path.spent + now.since(self.start);
+        let terms = Terms {
+            time_left: micros(self.plan.end.time_left(now)),
+            spent: micros(spent),
+            round_trip: micros(self.path.round_trip),
+            attempts,
+            is_counted,
+            is_repeat,
+            version: self.table.config().version,
+        };
+        let request = ForwardedRequest::new(&self.outgoing, terms);
+        let forwarded = state
+            .forwarder
+            .forward(state, &request, &self.route.regions);
+        let forwarded = forwarded.await;
+        state.metrics.record_forward(forwarded.name());
+        let (id, route) = (self.outgoing.id.as_str(), &*self.route.name);
+        log::debug!(id, route, end = forwarded.name(); "request.forwarded");
+        forwarded
+    }
+
+    /// Builds the reply to a request that was only forwarded.
+    fn build_forwarded(&self, forwarded: Forwarded) -> Reply {
+        let (not_run, cause) = match forwarded {
+            Forwarded::Reply(reply) => return reply,
+            Forwarded::Unable => (true, NO_LINKS),
+            Forwarded::Lost => (false, Cause::Lost.name()),
+        };
+        let state = &self.state;
+        state
+            .metrics
+            .record_failure(&self.route.name, not_run, cause);
+        let now = state.clock.now();
+        if state.log_throttle.allows(now, LineKind::FailedRequest) {
+            let (id, route) = (self.outgoing.id.as_str(), &*self.route.name);
+            let took_us = micros(now.since(self.start));
+            log::info!(id, route, not_run, cause, took_us; "request.not-forwarded");
+        }
+        if not_run {
+            reply::not_run(cause, NO_LINKS_RETRY_AFTER)
+        } else {
+            reply::outcome_unknown(Cause::Lost)
+        }
+    }
+
+    /// Sends calls, hedges and retries until there is a verdict.
+    async fn run_here(&self) -> Ended {
+        let state = &self.state;
+        let now = state.clock.now();
+        if self.terms.is_none_or(|t| !t.is_counted) {
+            state.route_stats.record_requests(
+                now,
+                self.shards.iter(),
+                &state.deployment.load().extra_call_limit,
+            );
+        }
         let mut scatter = Scatter::new(self.plan.clone(), self.shards.len());
         let mut calls = FuturesUnordered::new();
         // Replies by call index.
         let mut replies: Vec<Option<Response<Bytes>>> = Vec::with_capacity(self.shards.len());
         let mut wakes = state.wakes();
+        let mut link_changes = state.link_changes();
         let mut stop_end = state.stop_end();
         if let Some(end) = *stop_end.borrow_and_update() {
             scatter.limit_deadline(end);
@@ -211,6 +359,13 @@
                         scatter.limit_deadline(end);
                     }
                 }
+                Ok(()) = link_changes.changed(), if self.terms.is_none() => {
+                    let may_leave = scatter.attempts_left() > 0
+                        && (self.plan.repeat == Repeat::Idempotent || !scatter.may_have_run());
+                    if may_leave && state.links.phase() == Phase::Down {
+                        break scatter.give_up();
+                    }
+                }
                 Ok(()) = wakes.changed() => {
                     let now = state.clock.now();
                     calls_to_send = self.with_context(|cx| scatter.tick(now, cx));
@@ -227,7 +382,11 @@
                 let _ = tokio::time::timeout(UNNEEDED_CALL_TIMEOUT, unneeded).await;
             });
         }
-        self.build_reply(&scatter, verdict, replies)
+        Ended {
+            scatter,
+            verdict,
+            replies,
+        }
     }
 
     fn start_call(
@@ -289,7 +448,10 @@
                     .route_latency
                     .hedge_delay(target, self.route.objective)
             },
-            record_overdue: &|target| state.record_silence(now, target),
+            record_overdue: &|target| {
+                state.record_silence(now, target);
+                state.links.phase() != Phase::Suspect
+            },
         };
         decide(&context)
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -35,6 +35,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::crash_tracker::CrashTracker;
+use crate::forward::Forwarder;
 use crate::log_throttle::LogThrottle;
 use crate::metrics::Metrics;
 
@@ -137,6 +138,8 @@
     wakes: watch::Sender<()>,
     /// Links of this node to the targets.
     pub links: Links,
+    /// Forwards requests to other nodes while the links are down.
+    pub forwarder: Forwarder,
     /// Changes when the links become suspect or go down.
     link_changes: watch::Sender<()>,
     /// This node's shares of limits that apply to all nodes together.
@@ -177,6 +180,7 @@
             stop_end: watch::Sender::new(None),
             wakes: watch::Sender::new(()),
             links: Links::default(),
+            forwarder: Forwarder::default(),
             link_changes: watch::Sender::new(()),
             shares: ArcSwap::default(),
             store_view: Mutex::default(),
--- a/crates/ports/src/http_reply.rs
+++ b/crates/ports/src/http_reply.rs
@@ -4,10 +4,11 @@
 use std::fmt::Write as _;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use heatherrun_schema::v1;
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Collected, Full};
 use serde::Serialize;
 
 /// HTTP response whose body is in memory.
@@ -157,6 +158,14 @@
     }
 }
 
+/// Takes the body out of a response.
+#[must_use]
+pub fn split_body(reply: Reply) -> (http::response::Parts, Bytes) {
+    let (head, body) = reply.into_parts();
+    let whole = body.collect().now_or_never().and_then(Result::ok);
+    (head, whole.map(Collected::to_bytes).unwrap_or_default())
+}
+
 /// Response with a status and a body.
 #[must_use]
 pub fn respond(status: StatusCode, body: Bytes) -> Reply {
--- a/crates/routing/src/plan.rs
+++ b/crates/routing/src/plan.rs
@@ -84,6 +84,9 @@
     pub end: Time,
     /// Minimum share of the shards that makes an answer.
     pub min_share: f64,
+    /// Whether the request has reached targets before, so that all of its calls
+    /// are extra ones.
+    pub is_repeat: bool,
 }
 
 impl Plan {
@@ -128,6 +131,7 @@
             capacity_by: start + capacity_wait,
             end,
             min_share,
+            is_repeat: false,
         }
     }
 }
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -22,6 +22,9 @@
 /// full queue completes about a quarter of it in this time.
 const REFUSAL_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Delay before another attempt to hedge while no target replies.
+const SILENCE_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Maximum number of refused or unsent calls of one shard that may be followed
 /// by another call. They are not counted as attempts.
 const MAX_UNEXECUTED_CALLS: u16 = 3;
@@ -190,8 +193,9 @@
     pub take_extra: &'a dyn Fn(RequestShard) -> bool,
     /// Delay after which a call to the target is overdue and is hedged.
     pub hedge_delay: &'a dyn Fn(&Target) -> Duration,
-    /// Records that a call to the target is overdue.
-    pub record_overdue: &'a dyn Fn(&Target),
+    /// Records that a call to the target is overdue; false if another target is
+    /// not to be called now, since nobody replies.
+    pub record_overdue: &'a dyn Fn(&Target) -> bool,
 }
 
 #[derive(Clone, Debug)]
@@ -252,7 +256,10 @@
     #[must_use]
     pub fn new(plan: Plan, shard_count: usize) -> Self {
         let mut shards = Vec::new();
-        shards.resize_with(shard_count, ShardState::default);
+        shards.resize_with(shard_count, || ShardState {
+            reached_target: plan.is_repeat,
+            ..ShardState::default()
+        });
         Self {
             plan,
             shards,
@@ -281,6 +288,37 @@
         self.hedge_count
     }
 
+    /// Whether a target may have run a part of the request.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        let may_have_run =
+            |s: &ShardState| s.part.is_some() || s.executed > 0 || !s.in_flight.is_empty();
+        self.shards.iter().any(may_have_run)
+    }
+
+    /// Number of targets of each shard that may still run the request, apart
+    /// from those that may be running it.
+    #[must_use]
+    pub fn attempts_left(&self) -> u16 {
+        let used = |s: &ShardState| {
+            let in_flight = u16::try_from(s.in_flight.len()).unwrap_or(u16::MAX);
+            s.executed + in_flight + u16::from(s.part.is_some())
+        };
+        let most_used = self.shards.iter().map(used).max().unwrap_or_default();
+        self.plan.attempts.saturating_sub(most_used)
+    }
+
+    /// Ends the request now: answers with the parts received if they are enough.
+    #[must_use]
+    pub fn give_up(&self) -> Verdict {
+        let answered = self.shards.iter().filter(|s| s.part.is_some()).count();
+        if answered > 0 && self.meets_min_share(answered) {
+            let parts = self.shards.iter().map(|s| s.part);
+            return Verdict::Answer(parts.collect());
+        }
+        self.failure(true)
+    }
+
     /// Shards without a part, each with the cause; a shard with a call still in
     /// flight is reported as [`Cause::Late`].
     pub fn missing(&self) -> impl Iterator<Item = (RequestShard, Cause)> {
@@ -508,9 +546,14 @@
         let attempts_left = self.may_send(ix);
         let shard = &mut self.shards[ix];
         shard.hedge_at = None;
+        let mut may_hedge = true;
         for call in &shard.in_flight {
             call.target.record_overdue(now, call.sent_at);
-            (cx.record_overdue)(&call.target);
+            may_hedge &= (cx.record_overdue)(&call.target);
+        }
+        if !may_hedge {
+            shard.hedge_at = Some(now + SILENCE_RETRY_DELAY);
+            return;
         }
         if !attempts_left || shard.in_flight.is_empty() {
             return;
@@ -607,9 +650,7 @@
 
     /// Failure of the request, before its deadline or at it.
     fn failure(&self, before_deadline: bool) -> Verdict {
-        let may_have_run =
-            |s: &ShardState| s.part.is_some() || s.executed > 0 || !s.in_flight.is_empty();
-        let not_run = !self.shards.iter().any(may_have_run);
+        let not_run = !self.may_have_run();
         let cause = self.shards.iter().filter(|s| s.part.is_none());
         let cause = cause.filter_map(|s| s.cause).max();
         let cause = match cause {
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -88,5 +88,6 @@
         capacity_by: at(16),
         end: at(794),
         min_share,
+        is_repeat: false,
     }
 }
--- a/crates/routing/tests/scatter.rs
+++ b/crates/routing/tests/scatter.rs
@@ -67,7 +67,7 @@
                 left > 0
             },
             hedge_delay: &|_| ms(20),
-            record_overdue: &|_| {},
+            record_overdue: &|_| true,
         };
         decision(&context)
     }
