Refused connections of a node without links are no crashes of searchers

Cause: a refused connection counted as the end of its searcher at once, and so made the lost calls marks.

Change: a refusal counts as the end only once another searcher has replied or accepted a connection since; when the links go down, refusals are forgotten. The store tells of real ends as before.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -295,7 +295,7 @@
 fn record_possible_crash(
     state: &State,
     outgoing: &OutgoingRequest,
-    target: &Target,
+    target: &Arc<Target>,
     now: Time,
     error: ExchangeError,
 ) {
@@ -305,7 +305,7 @@
                 .crash_tracker
                 .record_lost_call(now, outgoing.fingerprint(), target);
         }
-        ExchangeError::Refused => state.crash_tracker.record_target_end(now, target),
+        ExchangeError::Refused => state.crash_tracker.record_refusal(target),
         _ => {}
     }
 }
--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -2,7 +2,7 @@
 //! again.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use heatherrun_kernel::control::Suspicion;
 use heatherrun_kernel::{CallId, QueryId, Time};
@@ -15,6 +15,10 @@
 /// Maximum number of suspicions queued for the other nodes.
 const MAX_QUEUED_SUSPICIONS: usize = 256;
 
+/// Maximum number of refusals whose meaning is open; further ones are passed
+/// over, since the store tells of the end as well.
+const MAX_REFUSALS: usize = 256;
+
 /// Crash-causing requests known to this node.
 #[derive(Debug)]
 pub struct CrashTracker {
@@ -24,6 +28,11 @@
     /// Hash of this node's name.
     node_hash: u64,
     call_seq: AtomicU64,
+    /// Targets that refused connections, which counts as their end once this
+    /// node's links are known to work.
+    refusals: Mutex<Vec<Arc<Target>>>,
+    /// Whether there are any; until then replies skip the lock.
+    has_refusals: AtomicBool,
     /// Suspicions to be sent to the other nodes.
     outbox: Sender<Suspicion>,
 }
@@ -40,6 +49,8 @@
             has_records: AtomicBool::new(false),
             node_hash,
             call_seq: AtomicU64::new(0),
+            refusals: Mutex::default(),
+            has_refusals: AtomicBool::new(false),
             outbox,
         };
         (tracker, suspicions)
@@ -82,6 +93,45 @@
             .record_loss(now, fingerprint, target, CallId { query, attempt: 0 });
     }
 
+    /// Records that `target` refused a connection: it ended, unless this node has
+    /// lost its links.
+    pub fn record_refusal(&self, target: &Arc<Target>) {
+        if !self.has_records() {
+            return;
+        }
+        let mut refusals = self.lock_refusals();
+        if refusals.len() < MAX_REFUSALS {
+            refusals.push(Arc::clone(target));
+            self.has_refusals.store(true, Ordering::Release);
+        }
+    }
+
+    /// Records that a target replied or accepted a connection: the links work,
+    /// so those that refused connections before have ended.
+    pub fn confirm_refusals(&self, now: Time) {
+        if !self.has_refusals.load(Ordering::Acquire) {
+            return;
+        }
+        for target in self.take_refusals() {
+            self.record_target_end(now, &target);
+        }
+    }
+
+    /// Forgets the refusals: the links were lost.
+    pub fn forget_refusals(&self) {
+        drop(self.take_refusals());
+    }
+
+    fn take_refusals(&self) -> Vec<Arc<Target>> {
+        let mut refusals = self.lock_refusals();
+        self.has_refusals.store(false, Ordering::Release);
+        std::mem::take(&mut *refusals)
+    }
+
+    fn lock_refusals(&self) -> MutexGuard<'_, Vec<Arc<Target>>> {
+        self.refusals.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that `target` ended, and queues the suspicions that follow from
     /// its lost calls.
     pub fn record_target_end(&self, now: Time, target: &Target) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -221,6 +221,7 @@
 
     /// Records that a target replied.
     pub fn record_reply(&self, now: Time) {
+        self.crash_tracker.confirm_refusals(now);
         if self.links.record_reply(now) {
             self.metrics.set_links_down(false);
             log::info!(by = "reply"; "links.up");
@@ -238,11 +239,15 @@
     /// Records whether a target accepted a connection that was opened to try the
     /// links.
     pub fn record_probe(&self, now: Time, is_reachable: bool) {
+        if is_reachable {
+            self.crash_tracker.confirm_refusals(now);
+        }
         if is_reachable && self.links.record_reachable(now) {
             self.metrics.set_links_down(false);
             log::info!(by = "connection"; "links.up");
         }
         if !is_reachable && self.links.record_unreachable() {
+            self.crash_tracker.forget_refusals();
             self.metrics.set_links_down(true);
             log::warn!(silent_us = self.links.silent_for(now); "links.down");
             self.link_changes.send_replace(());
