Requests in hand go to another node once the links are suspect

Cause: forwarding began only after 0.6 s, and took the place of the calls still in flight.

Change: new requests are forwarded and those in hand as well as soon as the links are suspect, 0.2 s after the first silence. The calls in flight go on beside it and the first answer counts; no more are sent. A forwarded request that was lost makes the outcome unknown, whatever became of it here.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -140,8 +140,16 @@
     request.run().await
 }
 
+/// How a request that was started here ended.
+enum Ended {
+    /// This node has decided on it.
+    Here(Outcome),
+    /// Another node replied.
+    Elsewhere(Reply),
+}
+
 /// What a request has come to at this node.
-struct Ended {
+struct Outcome {
     scatter: Scatter,
     verdict: Verdict,
     /// Replies by call index.
@@ -236,33 +244,42 @@
                 forwarded => return self.build_forwarded(forwarded),
             }
         }
-        let ended = self.run_here().await;
-        if let Some(attempts) = self.attempts_elsewhere(&ended) {
-            let counted = self.state.forwarder.retry();
-            if counted.is_some() || links.phase() == Phase::Down {
-                let is_repeat = ended.scatter.may_have_run();
-                if let Forwarded::Reply(reply) = self.forward(attempts, true, is_repeat).await {
-                    return reply;
-                }
-            }
+        match self.run_here().await {
+            Ended::Here(outcome) => self.build_reply(outcome),
+            Ended::Elsewhere(reply) => reply,
         }
-        self.build_reply(&ended.scatter, ended.verdict, ended.replies)
     }
 
-    /// How many targets of a shard may run the request at another node after it
-    /// ended here; `None` if it is answered, or no other node is better off.
-    fn attempts_elsewhere(&self, ended: &Ended) -> Option<u16> {
-        let Verdict::None { not_run, cause } = ended.verdict else {
+    /// Forwards a request that has been started here, if another node may run it
+    /// and is better off: this node has lost its links, or `failed_by` says that
+    /// it cannot send the request. No more calls are sent here then.
+    fn forward_started<'a>(
+        &'a self,
+        scatter: &mut Scatter,
+        failed_by: Option<Cause>,
+    ) -> Option<impl Future<Output = Forwarded> + std::marker::Send + use<'a>> {
+        let is_lost = matches!(self.state.links.phase(), Phase::Suspect | Phase::Down);
+        if self.terms.is_some()
+            || scatter.is_closed()
+            || !(is_lost || failed_by == Some(Cause::NotSent))
+        {
             return None;
-        };
-        let is_down = self.state.links.phase() == Phase::Down;
-        let time_left = self.plan.end.time_left(self.state.clock.now());
-        if self.terms.is_some() || time_left.is_zero() || !(is_down || cause == Cause::NotSent) {
+        }
+        let (attempts, is_repeat) = (scatter.attempts_left(), scatter.may_have_run());
+        let may_run = !is_repeat || self.plan.repeat == Repeat::Idempotent;
+        if !may_run || attempts == 0 {
+            return None;
+        }
+        let counted = self.state.forwarder.retry();
+        if counted.is_none() && !is_lost {
             return None;
         }
-        let attempts = ended.scatter.attempts_left();
-        let may_repeat = not_run || self.plan.repeat == Repeat::Idempotent;
-        (may_repeat && attempts > 0).then_some(attempts)
+        scatter.close();
+        Some(async move {
+            let forwarded = self.forward(attempts, true, is_repeat).await;
+            drop(counted);
+            forwarded
+        })
     }
 
     /// Forwards the request to another node. `is_counted` and `is_repeat` are
@@ -315,7 +332,8 @@
         }
     }
 
-    /// Sends calls, hedges and retries until there is a verdict.
+    /// Sends calls, hedges and retries until there is a verdict, or until another
+    /// node has replied.
     async fn run_here(&self) -> Ended {
         let state = &self.state;
         let now = state.clock.now();
@@ -328,6 +346,9 @@
         }
         let mut scatter = Scatter::new(self.plan.clone(), self.shards.len());
         let mut calls = FuturesUnordered::new();
+        // The request at another node; at most one.
+        let mut forwards = FuturesUnordered::new();
+        let mut was_lost = false;
         // Replies by call index.
         let mut replies: Vec<Option<Response<Bytes>>> = Vec::with_capacity(self.shards.len());
         let mut wakes = state.wakes();
@@ -344,7 +365,13 @@
             }
             let now = state.clock.now();
             if let Some(verdict) = scatter.verdict(now) {
-                break verdict;
+                if let Some(cause) = verdict.cause() {
+                    forwards.extend(self.forward_started(&mut scatter, Some(cause)));
+                }
+                let is_waiting = !forwards.is_empty() && now < scatter.end();
+                if verdict.cause().is_none() || !is_waiting {
+                    break verdict;
+                }
             }
             let wake_at = scatter.wake_at(now);
             tokio::select! {
@@ -359,12 +386,13 @@
                         scatter.limit_deadline(end);
                     }
                 }
-                Ok(()) = link_changes.changed(), if self.terms.is_none() => {
-                    let may_leave = scatter.attempts_left() > 0
-                        && (self.plan.repeat == Repeat::Idempotent || !scatter.may_have_run());
-                    if may_leave && state.links.phase() == Phase::Down {
-                        break scatter.give_up();
-                    }
+                Some(forwarded) = forwards.next() => match forwarded {
+                    Forwarded::Reply(reply) => return Ended::Elsewhere(reply),
+                    Forwarded::Lost => was_lost = true,
+                    Forwarded::Unable => {}
+                },
+                Ok(()) = link_changes.changed() => {
+                    forwards.extend(self.forward_started(&mut scatter, None));
                 }
                 Ok(()) = wakes.changed() => {
                     let now = state.clock.now();
@@ -382,11 +410,12 @@
                 let _ = tokio::time::timeout(UNNEEDED_CALL_TIMEOUT, unneeded).await;
             });
         }
-        Ended {
+        drop(forwards);
+        Ended::Here(Outcome {
+            verdict: if was_lost { verdict.or_lost() } else { verdict },
             scatter,
-            verdict,
             replies,
-        }
+        })
     }
 
     fn start_call(
@@ -489,16 +518,16 @@
             .pace(target, cold.map(|c| c.per_sec))
     }
 
-    fn build_reply(
-        &self,
-        scatter: &Scatter,
-        verdict: Verdict,
-        replies: Vec<Option<Response<Bytes>>>,
-    ) -> Reply {
+    fn build_reply(&self, outcome: Outcome) -> Reply {
+        let Outcome {
+            scatter,
+            verdict,
+            replies,
+        } = outcome;
         match verdict {
-            Verdict::Answer(chosen) => self.build_answer(scatter, &chosen, replies),
+            Verdict::Answer(chosen) => self.build_answer(&scatter, &chosen, replies),
             Verdict::None { not_run, cause } => {
-                self.build_refusal(scatter, not_run, cause, replies)
+                self.build_refusal(&scatter, not_run, cause, replies)
             }
         }
     }
--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -151,8 +151,8 @@
         }
         let mut inner = self.lock();
         match inner.phase {
-            Phase::Up | Phase::Suspect => true,
-            Phase::Down => false,
+            Phase::Up => true,
+            Phase::Suspect | Phase::Down => false,
             Phase::Returning(since) => {
                 let elapsed = now.since(since);
                 if elapsed >= RETURN_TIME {
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -171,6 +171,29 @@
     },
 }
 
+impl Verdict {
+    /// Why there is no answer; `None` if there is one.
+    #[must_use]
+    pub const fn cause(&self) -> Option<Cause> {
+        match self {
+            Self::Answer(_) => None,
+            Self::None { cause, .. } => Some(*cause),
+        }
+    }
+
+    /// The verdict on a request that another node may have run as well.
+    #[must_use]
+    pub fn or_lost(self) -> Self {
+        match self {
+            Self::Answer(_) => self,
+            Self::None { cause, .. } => Self::None {
+                not_run: false,
+                cause: cause.max(Cause::Lost),
+            },
+        }
+    }
+}
+
 /// Result of choosing a target for a call.
 pub enum TargetChoice {
     /// The target to send the call to.
@@ -248,6 +271,8 @@
     /// Shard of each call, in the order of sending.
     calls: Vec<RequestShard>,
     hedge_count: usize,
+    /// Whether no more calls are sent.
+    is_closed: bool,
 }
 
 impl Scatter {
@@ -265,6 +290,7 @@
             shards,
             calls: Vec::with_capacity(shard_count),
             hedge_count: 0,
+            is_closed: false,
         }
     }
 
@@ -308,15 +334,25 @@
         self.plan.attempts.saturating_sub(most_used)
     }
 
-    /// Ends the request now: answers with the parts received if they are enough.
-    #[must_use]
-    pub fn give_up(&self) -> Verdict {
-        let answered = self.shards.iter().filter(|s| s.part.is_some()).count();
-        if answered > 0 && self.meets_min_share(answered) {
-            let parts = self.shards.iter().map(|s| s.part);
-            return Verdict::Answer(parts.collect());
+    /// Sends no more calls; those in flight may still answer.
+    pub fn close(&mut self) {
+        self.is_closed = true;
+        for shard in &mut self.shards {
+            shard.hedge_at = None;
+            shard.retry_at = None;
         }
-        self.failure(true)
+    }
+
+    /// Whether no more calls are sent.
+    #[must_use]
+    pub const fn is_closed(&self) -> bool {
+        self.is_closed
+    }
+
+    /// Deadline of the request.
+    #[must_use]
+    pub const fn end(&self) -> Time {
+        self.plan.end
     }
 
     /// Shards without a part, each with the cause; a shard with a call still in
@@ -415,7 +451,7 @@
     /// Whether the plan allows one more call to the shard.
     fn may_send(&self, ix: RequestShard) -> bool {
         let shard = &self.shards[ix];
-        if shard.unexecuted > MAX_UNEXECUTED_CALLS {
+        if self.is_closed || shard.unexecuted > MAX_UNEXECUTED_CALLS {
             return false;
         }
         let in_flight = u16::try_from(shard.in_flight.len()).unwrap_or(u16::MAX);
