A stop answers forwarded requests, at both nodes

What callers would see: a node without links that stops cut off requests that it had forwarded, and a node that stops cut off those of others.

Change: a forwarded request is answered as lost when that time comes; the stop waits for the requests of other nodes, and 20 ms for their replies to be written.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -49,6 +49,9 @@
 /// Interval between checks whether requests of other nodes are finished.
 const FORWARD_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time in which the last replies to other nodes are written.
+const FORWARD_REPLY_TIME: Duration = Duration::from_millis(20);
+
 /// Part of the stop's time limit, in per cent, during which requests are still
 /// accepted: callers keep using the address for a while.
 const STOP_ACCEPT_PERCENT: u32 = 70;
@@ -225,6 +228,7 @@
             while !self.state.forwarder.is_idle() {
                 tokio::time::sleep(FORWARD_CHECK_INTERVAL).await;
             }
+            tokio::time::sleep(FORWARD_REPLY_TIME).await;
             ended
         };
         tokio::time::timeout_at(end, ending).await.is_ok()
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -238,7 +238,10 @@
     async fn run(self) -> Reply {
         let links = &self.state.links;
         if self.terms.is_none() && !links.admits(self.start) {
-            let forwarded = self.forward(self.plan.attempts, false, false).await;
+            let forwarded = tokio::select! {
+                forwarded = self.forward(self.plan.attempts, false, false) => forwarded,
+                () = self.stop_ended() => Forwarded::Lost,
+            };
             match forwarded {
                 Forwarded::Unable if links.phase() != Phase::Down => {}
                 forwarded => return self.build_forwarded(forwarded),
@@ -250,6 +253,17 @@
         }
     }
 
+    /// Waits until this node stops and must have answered its requests.
+    async fn stop_ended(&self) {
+        let mut stop_end = self.state.stop_end();
+        let end = stop_end.wait_for(Option::is_some).await;
+        let end = end.ok().and_then(|end| *end);
+        match end {
+            Some(end) => self.state.clock.sleep_until(end).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Forwards a request that has been started here, if another node may run it
     /// and is better off: this node has lost its links, or `failed_by` says that
     /// it cannot send the request. No more calls are sent here then.
@@ -310,16 +324,21 @@
 
     /// Builds the reply to a request that was only forwarded.
     fn build_forwarded(&self, forwarded: Forwarded) -> Reply {
+        let state = &self.state;
+        let now = state.clock.now();
+        let loss = if now < self.plan.end {
+            Cause::Lost
+        } else {
+            Cause::Late
+        };
         let (not_run, cause) = match forwarded {
             Forwarded::Reply(reply) => return reply,
             Forwarded::Unable => (true, NO_LINKS),
-            Forwarded::Lost => (false, Cause::Lost.name()),
+            Forwarded::Lost => (false, loss.name()),
         };
-        let state = &self.state;
         state
             .metrics
             .record_failure(&self.route.name, not_run, cause);
-        let now = state.clock.now();
         if state.log_throttle.allows(now, LineKind::FailedRequest) {
             let (id, route) = (self.outgoing.id.as_str(), &*self.route.name);
             let took_us = micros(now.since(self.start));
@@ -328,7 +347,7 @@
         if not_run {
             reply::not_run(cause, NO_LINKS_RETRY_AFTER)
         } else {
-            reply::outcome_unknown(Cause::Lost)
+            reply::outcome_unknown(loss)
         }
     }
 
