Split the request path: replies, forwarding and clients of other nodes

What builds replies, what has another node serve a request, the messages between nodes and the clients are files of their own. Code is moved, not changed; tests of the two crates pass.

--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -5,7 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::relay::PeerClients;
+use crate::peer_clients::PeerClients;
 use crate::state::State;
 
 /// Interval between rounds.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,8 +3,10 @@
 //!
 //! A request passes through [`serve`] and [`calls`]. [`store_sync`] and
 //! [`relay`] bring changes from the store or from another node into [`state`],
-//! and [`roster`] publishes the nodes of a failure domain in the store. [`crash_tracker`]
-//! withholds requests that crash targets. [`gateway`] starts and stops a node.
+//! and [`roster`] publishes the nodes of a failure domain in the store.
+//! [`crash_tracker`] withholds requests that crash targets. While [`link_probe`]
+//! finds no way to the targets, [`forward`] sends requests to other nodes.
+//! [`gateway`] starts and stops a node.
 
 pub mod calls;
 pub mod crash_tracker;
@@ -15,6 +17,7 @@
 pub mod link_probe;
 pub mod log_throttle;
 pub mod metrics;
+pub mod peer_clients;
 pub mod relay;
 pub mod reply;
 pub mod roster;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,4 +1,8 @@
-//! Serves one caller's request, from its arrival to its reply.
+//! Serves one caller's request, from its arrival to its reply: here, or
+//! [`elsewhere`].
+
+mod answer;
+mod elsewhere;
 
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -8,11 +12,11 @@
 use bytes::Bytes;
 use futures::stream::{FuturesUnordered, StreamExt};
 use heatherrun_kernel::Time;
-use heatherrun_kernel::routes::{Destination, Name, Repeat, Route};
+use heatherrun_kernel::routes::{Destination, Name, Route};
 use heatherrun_kernel::time::micros;
 use heatherrun_ports::http_reply::{Fault, Reply, plain};
 use heatherrun_ports::http_server::{ConnectionNote, Received};
-use heatherrun_routing::choice::{self, Choice, ChoiceConstraints, Hold};
+use heatherrun_routing::choice::{self, Choice, ChoiceConstraints};
 use heatherrun_routing::crash_detector;
 use heatherrun_routing::fleet::Services;
 use heatherrun_routing::links::Phase;
@@ -20,7 +24,7 @@
 use heatherrun_routing::plan::{CallerPath, Plan};
 use heatherrun_routing::route_stats::RouteLatency;
 use heatherrun_routing::scatter::{
-    CallIx, CallToSend, Cause, Context, RequestShard, Scatter, TargetChoice, Verdict,
+    CallToSend, Context, RequestShard, Scatter, TargetChoice, Verdict,
 };
 use heatherrun_routing::table::RouteTable;
 use heatherrun_routing::target::Target;
@@ -28,7 +32,8 @@
 
 use crate::calls::{self, EndedCall, OutgoingRequest};
 use crate::crash_tracker;
-use crate::forward::{ForwardReply, Forwarded, ForwardedRequest, Terms};
+use crate::forward::Forwarded;
+use crate::forward::message::{ForwardReply, ForwardedRequest, Terms};
 use crate::log_throttle::LineKind;
 use crate::reply;
 use crate::state::State;
@@ -41,28 +46,9 @@
 /// `Retry-After` of requests refused because no configuration is known.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// `Retry-After` of requests that no target ran.
-const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(150);
-
-/// `Retry-After` of requests that no known target may serve: after an outage of
-/// the store, targets are known again within two seconds.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
-
-/// Maximum `Retry-After` of requests whose targets take a limited rate: another
-/// node may have a share of it left much earlier than this one.
-const MAX_RATE_RETRY_AFTER: Duration = Duration::from_secs(1);
-
-/// Reason and `Retry-After` of requests that neither this node nor another one
-/// can send: the links are tried several times meanwhile.
-const NO_LINKS: &str = "no-links";
-const NO_LINKS_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// `Retry-After` of banned requests: the interval between trials of one.
 const BANNED_RETRY_AFTER: Duration = crash_detector::TRIAL_INTERVAL;
 
-/// Maximum number of missing shards named in one log line.
-const MAX_LOGGED_SHARDS: usize = 12;
-
 /// Handles one request of a caller.
 pub async fn handle_request(state: Arc<State>, received: Result<Received, Fault>) -> Reply {
     match received {
@@ -253,104 +239,6 @@
         }
     }
 
-    /// Waits until this node stops and must have answered its requests.
-    async fn stop_ended(&self) {
-        let mut stop_end = self.state.stop_end();
-        let end = stop_end.wait_for(Option::is_some).await;
-        let end = end.ok().and_then(|end| *end);
-        match end {
-            Some(end) => self.state.clock.sleep_until(end).await,
-            None => std::future::pending().await,
-        }
-    }
-
-    /// Forwards a request that has been started here, if another node may run it
-    /// and is better off: this node has lost its links, or `failed_by` says that
-    /// it cannot send the request. No more calls are sent here then.
-    fn forward_started<'a>(
-        &'a self,
-        scatter: &mut Scatter,
-        failed_by: Option<Cause>,
-    ) -> Option<impl Future<Output = Forwarded> + std::marker::Send + use<'a>> {
-        let is_lost = matches!(self.state.links.phase(), Phase::Suspect | Phase::Down);
-        if self.terms.is_some()
-            || scatter.is_closed()
-            || !(is_lost || failed_by == Some(Cause::NotSent))
-        {
-            return None;
-        }
-        let (attempts, is_repeat) = (scatter.attempts_left(), scatter.may_have_run());
-        let may_run = !is_repeat || self.plan.repeat == Repeat::Idempotent;
-        if !may_run || attempts == 0 {
-            return None;
-        }
-        let counted = self.state.forwarder.retry();
-        if counted.is_none() && !is_lost {
-            return None;
-        }
-        scatter.close();
-        Some(async move {
-            let forwarded = self.forward(attempts, true, is_repeat).await;
-            drop(counted);
-            forwarded
-        })
-    }
-
-    /// Forwards the request to another node. `is_counted` and `is_repeat` are
-    /// those of [`Terms`].
-    async fn forward(&self, attempts: u16, is_counted: bool, is_repeat: bool) -> Forwarded {
-        let state = &self.state;
-        let now = state.clock.now();
-        let spent = self.path.spent + now.since(self.start);
-        let terms = Terms {
-            time_left: micros(self.plan.end.time_left(now)),
-            spent: micros(spent),
-            round_trip: micros(self.path.round_trip),
-            attempts,
-            is_counted,
-            is_repeat,
-            version: self.table.config().version,
-        };
-        let request = ForwardedRequest::new(&self.outgoing, terms);
-        let forwarded = state
-            .forwarder
-            .forward(state, &request, &self.route.regions);
-        let forwarded = forwarded.await;
-        state.metrics.record_forward(forwarded.name());
-        let (id, route) = (self.outgoing.id.as_str(), &*self.route.name);
-        log::debug!(id, route, end = forwarded.name(); "request.forwarded");
-        forwarded
-    }
-
-    /// Builds the reply to a request that was only forwarded.
-    fn build_forwarded(&self, forwarded: Forwarded) -> Reply {
-        let state = &self.state;
-        let now = state.clock.now();
-        let loss = if now < self.plan.end {
-            Cause::Lost
-        } else {
-            Cause::Late
-        };
-        let (not_run, cause) = match forwarded {
-            Forwarded::Reply(reply) => return reply,
-            Forwarded::Unable => (true, NO_LINKS),
-            Forwarded::Lost => (false, loss.name()),
-        };
-        state
-            .metrics
-            .record_failure(&self.route.name, not_run, cause);
-        if state.log_throttle.allows(now, LineKind::FailedRequest) {
-            let (id, route) = (self.outgoing.id.as_str(), &*self.route.name);
-            let took_us = micros(now.since(self.start));
-            log::info!(id, route, not_run, cause, took_us; "request.not-forwarded");
-        }
-        if not_run {
-            reply::not_run(cause, NO_LINKS_RETRY_AFTER)
-        } else {
-            reply::outcome_unknown(loss)
-        }
-    }
-
     /// Sends calls, hedges and retries until there is a verdict, or until another
     /// node has replied.
     async fn run_here(&self) -> Ended {
@@ -536,147 +424,6 @@
             .load()
             .pace(target, cold.map(|c| c.per_sec))
     }
-
-    fn build_reply(&self, outcome: Outcome) -> Reply {
-        let Outcome {
-            scatter,
-            verdict,
-            replies,
-        } = outcome;
-        match verdict {
-            Verdict::Answer(chosen) => self.build_answer(&scatter, &chosen, replies),
-            Verdict::None { not_run, cause } => {
-                self.build_refusal(&scatter, not_run, cause, replies)
-            }
-        }
-    }
-
-    /// Builds the answer from the replies of the chosen calls, one per shard.
-    fn build_answer(
-        &self,
-        scatter: &Scatter,
-        chosen: &[Option<CallIx>],
-        mut replies: Vec<Option<Response<Bytes>>>,
-    ) -> Reply {
-        let chosen_calls = chosen.iter().flatten();
-        let mut parts: Vec<_> = chosen_calls.filter_map(|ix| replies[*ix].take()).collect();
-        let missing = chosen.len() - parts.len();
-        let now = self.state.clock.now();
-        let elapsed = now.since(self.start);
-        self.state
-            .metrics
-            .record_answer(&self.route.name, elapsed, missing);
-        self.state
-            .crash_tracker
-            .record_answer(now, || self.outgoing.fingerprint());
-        let (id, route) = (self.outgoing.id.as_str(), &*self.route.name);
-        let (version, calls) = (self.table.config().version, scatter.call_count());
-        log::debug!(id, route, version, calls, missing; "request.answered");
-        if missing > 0 && self.state.log_throttle.allows(now, LineKind::PartialAnswer) {
-            log::info!(
-                id, route, version, shards = chosen.len(), calls, hedges = scatter.hedge_count(),
-                missing = self.describe_missing(scatter).as_str(), took_us = micros(elapsed);
-                "request.partial"
-            );
-        }
-        match self.max_records {
-            Some(max_records) => {
-                let merged = reply::merge_parts(&self.state, &parts, missing, max_records);
-                self.record_answer_delay();
-                merged
-            }
-            None => match parts.pop() {
-                Some(part) => reply::forward(part),
-                None => reply::outcome_unknown(Cause::Lost),
-            },
-        }
-    }
-
-    /// Records how long after the point of answer a merged answer is ready, if
-    /// it had to wait for that point.
-    fn record_answer_delay(&self) {
-        let now = self.state.clock.now();
-        if now >= self.plan.answer_by {
-            let delay = now.since(self.plan.answer_by);
-            self.outgoing.route_latency.record_answer_delay(delay);
-        }
-    }
-
-    /// Missing shards and causes for a log line, as "service:cause", at most
-    /// [`MAX_LOGGED_SHARDS`].
-    fn describe_missing(&self, scatter: &Scatter) -> String {
-        let mut text = String::new();
-        for (count, (shard, cause)) in scatter.missing().enumerate() {
-            if count == MAX_LOGGED_SHARDS {
-                text.push_str(",..");
-                break;
-            }
-            if count > 0 {
-                text.push(',');
-            }
-            text.push_str(&self.shards[shard]);
-            text.push(':');
-            text.push_str(cause.name());
-        }
-        text
-    }
-
-    /// Builds the reply to a request that got no answer.
-    fn build_refusal(
-        &self,
-        scatter: &Scatter,
-        not_run: bool,
-        cause: Cause,
-        mut replies: Vec<Option<Response<Bytes>>>,
-    ) -> Reply {
-        let now = self.state.clock.now();
-        let elapsed = now.since(self.start);
-        let name = &self.route.name;
-        self.state
-            .metrics
-            .record_failure(name, not_run, cause.name());
-        if self.state.log_throttle.allows(now, LineKind::FailedRequest) {
-            let (id, route) = (self.outgoing.id.as_str(), &*self.route.name);
-            let (version, calls) = (self.table.config().version, scatter.call_count());
-            log::info!(
-                id, route, version, shards = self.shards.len(), calls,
-                hedges = scatter.hedge_count(), missing = self.describe_missing(scatter).as_str(),
-                not_run, cause = cause.name(), left_us = micros(self.plan.end.time_left(self.start)),
-                took_us = micros(elapsed); "request.failed"
-            );
-        }
-        if not_run {
-            let held_for = scatter.held().map(|(until, hold)| match hold {
-                Hold::Quiet => until.time_left(now),
-                Hold::Rate => until.time_left(now).min(MAX_RATE_RETRY_AFTER),
-            });
-            let least = if cause == Cause::NoTarget {
-                NO_TARGET_RETRY_AFTER
-            } else {
-                NOT_RUN_RETRY_AFTER
-            };
-            let retry_after = held_for.unwrap_or_default().max(least);
-            return reply::not_run(cause.name(), retry_after);
-        }
-        let error_reply = match self.max_records {
-            None => self.take_error_reply(&mut replies),
-            Some(_) => None,
-        };
-        error_reply.map_or_else(|| reply::outcome_unknown(cause), reply::forward)
-    }
-
-    /// Takes the error reply of a target that ran the request: it tells the
-    /// caller more than a reply of this node.
-    fn take_error_reply(&self, replies: &mut [Option<Response<Bytes>>]) -> Option<Response<Bytes>> {
-        let is_error = |r: &Response<Bytes>| {
-            !(self.state.site.parse_reply)(r.status(), r.headers()).not_run
-                && !r.status().is_success()
-        };
-        let found = replies
-            .iter_mut()
-            .find(|r| r.as_ref().is_some_and(&is_error));
-        found.and_then(Option::take)
-    }
 }
 
 /// Path of the caller. Its round trip is kept for the other requests of its
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -19,7 +19,8 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::relay::{self, ChangesRequest, PeerClients};
+use crate::peer_clients::{self, PeerClients};
+use crate::relay::{self, ChangesRequest};
 use crate::state::State;
 
 /// Interval between reads of the store. Searchers report about every 1.2 s,
@@ -258,7 +259,7 @@
         let timeout = if request.after.is_start() {
             SNAPSHOT_TIMEOUT
         } else {
-            relay::REPLY_TIMEOUT
+            peer_clients::REPLY_TIMEOUT
         };
         let Some(reply) = self.peers.fetch_changes(address, request, timeout).await else {
             self.record_unresponsive(address, sent_at);
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use heatherrun_gateway::calls::OutgoingRequest;
-use heatherrun_gateway::forward::{ForwardedRequest, Terms};
+use heatherrun_gateway::forward::message::{ForwardedRequest, Terms};
 use http::{HeaderMap, HeaderValue, Method};
 
 fn terms() -> Terms {
