A forwarded request is never called not run while another node may run it

What callers would see: 503, not run, for a once-only request that could not be sent here, when this node stopped (or the time was up) while another node was running it.

Cause: the verdict here was given although the request was still elsewhere, and forgot that it was.

Change: a request still at another node when the verdict falls has an unknown outcome.

Measured: stop_does_not_call_a_forwarded_request_not_run got 503 before and passes. Found by reading.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -317,6 +317,8 @@
                 let _ = tokio::time::timeout(UNNEEDED_CALL_TIMEOUT, unneeded).await;
             });
         }
+        // Another node may run a request that is still there.
+        was_lost |= !forwards.is_empty();
         drop(forwards);
         Ended::Here(Outcome {
             verdict: if was_lost { verdict.or_lost() } else { verdict },
