--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,11 +18,10 @@
 use heatherrun_kernel::time::micros;
 use heatherrun_ports::http_reply::Reply;
 
+use self::message::{ForwardReply, ForwardedRequest};
 use crate::peer_clients::{ForwardError, PeerClients};
 use crate::state::State;
 
-use message::{ForwardReply, ForwardedRequest};
-
 /// Maximum number of nodes that are asked to serve one request.
 const MAX_NODES_ASKED: usize = 3;
 
@@ -156,8 +155,8 @@
         change(self.lock().entry(peer).or_default());
     }
 
-    /// Forwards the request to one node after another until one of `regions` can
-    /// serve it, or any if that is empty.
+    /// Asks one node of `regions`, or of all regions if that is empty, after
+    /// another until one can serve the request.
     pub async fn forward(
         &self,
         state: &State,
@@ -169,12 +168,10 @@
         while asked.len() < MAX_NODES_ASKED {
             let now = state.clock.now();
             let time_left = end.time_left(now);
-            let Some(peer) = self.choose(state, now, regions, &asked) else {
+            let peer = self.choose(state, now, regions, &asked);
+            let Some(peer) = peer.filter(|_| !time_left.is_zero()) else {
                 return Forwarded::Unable;
             };
-            if time_left.is_zero() {
-                return Forwarded::Unable;
-            }
             asked.push(peer);
             let mut request = request.clone();
             request.terms.spent += request.terms.time_left.saturating_sub(micros(time_left));
--- a/crates/gateway/src/forward/message.rs
+++ b/crates/gateway/src/forward/message.rs
@@ -16,10 +16,9 @@
 pub struct Terms {
     /// Time left for the whole request, in microseconds.
     pub time_left: u64,
-    /// Time that its caller has spent, in microseconds, and the round trip to the
-    /// caller; see [`CallerPath`].
+    /// Time that its caller has spent, in microseconds; see [`CallerPath`].
     pub spent: u64,
-    /// Round trip to the caller, in microseconds.
+    /// Round trip to the caller, in microseconds; zero when unknown.
     pub round_trip: u64,
     /// Maximum number of targets per shard that may still run it.
     pub attempts: u16,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -242,7 +242,7 @@
         if is_reachable {
             self.crash_tracker.confirm_refusals(now);
         }
-        if is_reachable && self.links.record_reachable(now) {
+        if is_reachable && self.links.record_reply(now) {
             self.metrics.set_links_down(false);
             log::info!(by = "connection"; "links.up");
         }
--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -76,7 +76,8 @@
         self.lock().phase
     }
 
-    /// Records a reply of any target; true if that ends an outage of the links.
+    /// Records that any target replied or accepted a connection; true if that ends
+    /// an outage of the links.
     pub fn record_reply(&self, now: Time) -> bool {
         if !self.is_troubled.load(Ordering::Acquire) {
             return false;
@@ -126,23 +127,11 @@
         is_new
     }
 
-    /// Records a new connection to a target; true if that ends an outage of the
-    /// links.
-    pub fn record_reachable(&self, now: Time) -> bool {
-        self.record_reply(now)
-    }
-
     /// Forgets who was silent: the node itself was suspended.
     pub fn record_wake(&self) {
         self.lock().silent.clear();
     }
 
-    /// Number of targets known to be silent, at most [`MIN_SILENT_TARGETS`].
-    #[must_use]
-    pub fn silent_count(&self) -> usize {
-        self.lock().silent.len()
-    }
-
     /// Whether this node sends the calls of one more request itself.
     #[must_use]
     pub fn admits(&self, now: Time) -> bool {
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -599,9 +599,7 @@
             TargetChoice::NoTarget => {}
             TargetChoice::Held(until, _) => {
                 let is_useful = until < self.plan.answer_by;
-                shard.hedge_at = is_useful
-                    .then_some(until)
-                    .max(retry_at.filter(|_| is_useful));
+                shard.hedge_at = retry_at.max(Some(until)).filter(|_| is_useful);
             }
             TargetChoice::Target(target) if !target.is_queueing(now) && !target.is_avoided(now) => {
                 // An overdue call counts as having reached its target.
