The soak's breaks name the lines where they are now

Two of its five changes quoted lines that the split of the request path and the stop's wait for other nodes moved: refused and lost. The same promises are broken in the same way.

--- a/crates/daemon/tests/soak/breaks.sh
+++ b/crates/daemon/tests/soak/breaks.sh
@@ -13,8 +13,8 @@
 # Promise, file, and the sed command that breaks the promise.
 breaks=(
     'twice|crates/routing/src/scatter.rs|s/Repeat::Once => shard.executed == 0 .. in_flight == 0,/Repeat::Once => true,/'
-    'refused|crates/gateway/src/serve.rs|s/        if not_run {$/        if not_run || self.max_records.is_none() {/'
-    'lost|crates/gateway/src/gateway.rs|s/tokio::time::timeout_at(end, self.callers).await.is_ok()/{ let _ = end; self.callers.abort(); true }/'
+    'refused|crates/gateway/src/serve/answer.rs|s/        if not_run {$/        if not_run || self.max_records.is_none() {/'
+    'lost|crates/gateway/src/gateway.rs|s/let ended = self.callers.await;/self.callers.abort(); let ended = self.callers.await;/'
     'mixed|crates/routing/src/merge.rs|s/truncate(/truncate(1 + /'
     'drain|crates/routing/src/target.rs|s/\[&self.draining, &self.leaving, &self.gone\]/[\&self.leaving, \&self.gone]/'
 )
