--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,96 @@
+//! Extensible messages between nodes: credit of teams and evidence about
+//! versions under test.
+//!
+//! The messages are protobuf, so a node ignores fields that it does not know.
+//! An older node does not know the call and closes the connection on which it
+//! receives it. The connections here carry nothing else, and such a node is
+//! left alone for [`RETRY_DELAY`].
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use heatherrun_kernel::Time;
+use heatherrun_schema::v1::{PeerReply, PeerRequest};
+use prost::Message;
+
+use crate::peer_clients::PeerClients;
+use crate::state::State;
+
+/// Time for which a node is not asked after it did not reply.
+const RETRY_DELAY: Duration = Duration::from_secs(10);
+
+/// Maximum number of nodes remembered as unresponsive.
+const MAX_UNRESPONSIVE: usize = 1_024;
+
+/// Client of the extensible messages.
+#[derive(Default)]
+pub struct Exchange {
+    clients: PeerClients,
+    /// Nodes that did not reply, and until when they are not asked.
+    unresponsive: Mutex<HashMap<SocketAddr, Time>>,
+}
+
+impl Exchange {
+    /// Sends a message to the node at `address`; `None` when it does not reply
+    /// within `timeout`, or did not reply recently.
+    pub async fn send(
+        &self,
+        state: &State,
+        address: SocketAddr,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> Option<PeerReply> {
+        if self.is_unresponsive(state.clock.now(), address) {
+            return None;
+        }
+        let reply = self
+            .clients
+            .exchange(address, request.encode_to_vec(), timeout)
+            .await;
+        let reply = reply.and_then(|bytes| PeerReply::decode(&*bytes).ok());
+        if reply.is_none() {
+            self.record_unresponsive(state.clock.now(), address);
+        }
+        reply
+    }
+
+    fn is_unresponsive(&self, now: Time, address: SocketAddr) -> bool {
+        let unresponsive = self
+            .unresponsive
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        unresponsive.get(&address).is_some_and(|until| now < *until)
+    }
+
+    fn record_unresponsive(&self, now: Time, address: SocketAddr) {
+        let mut unresponsive = self
+            .unresponsive
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        unresponsive.retain(|_, until| now < *until);
+        if unresponsive.len() < MAX_UNRESPONSIVE {
+            unresponsive.insert(address, now + RETRY_DELAY);
+        }
+    }
+}
+
+/// Replies to a message of another node. A message that cannot be decoded gets
+/// an empty reply.
+#[must_use]
+pub fn handle(_state: &Arc<State>, message: &[u8]) -> Vec<u8> {
+    let reply = match PeerRequest::decode(message) {
+        Ok(_request) => PeerReply {
+            quota: None,
+            rollout: None,
+        },
+        Err(e) => {
+            log::warn!(reason:% = e; "exchange.malformed");
+            PeerReply::default()
+        }
+    };
+    reply.encode_to_vec()
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod calls;
 pub mod crash_tracker;
 pub mod endpoints;
+pub mod exchange;
 pub mod forward;
 pub mod gateway;
 pub mod join;
--- a/crates/gateway/src/peer_clients.rs
+++ b/crates/gateway/src/peer_clients.rs
@@ -118,6 +118,20 @@
         sent.await.is_some()
     }
 
+    /// Sends an extensible message to the node at `address`; `None` when it does
+    /// not reply within `timeout`.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        message: Vec<u8>,
+        timeout: Duration,
+    ) -> Option<Vec<u8>> {
+        self.call(address, timeout, async move |client| {
+            client.exchange(rpc_context(timeout), message).await.ok()
+        })
+        .await
+    }
+
     /// Calls the node at `address`; without a reply in time its connection is
     /// closed.
     async fn call<T>(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc::Receiver;
 
+use crate::exchange;
 use crate::forward::message::{ForwardReply, ForwardedRequest};
 use crate::peer_clients::PeerClients;
 use crate::serve;
@@ -68,6 +69,9 @@
     async fn report_suspicion(suspicion: Suspicion);
     /// Serves a request of a node that has lost its links to the targets.
     async fn forward(request: ForwardedRequest) -> ForwardReply;
+    /// Exchanges protobuf messages; see [`crate::exchange`]. It is the last
+    /// call: calls are identified by position, which older nodes rely on.
+    async fn exchange(message: Vec<u8>) -> Vec<u8>;
 }
 
 #[derive(Clone)]
@@ -101,6 +105,10 @@
     async fn forward(self, _: context::Context, request: ForwardedRequest) -> ForwardReply {
         serve::handle_forwarded(self.state, request).await
     }
+
+    async fn exchange(self, _: context::Context, message: Vec<u8>) -> Vec<u8> {
+        exchange::handle(&self.state, &message)
+    }
 }
 
 /// Applies a suspicion of another node, and keeps it for the nodes below.
--- a/crates/kernel/src/routes.rs
+++ b/crates/kernel/src/routes.rs
@@ -67,10 +67,54 @@
     pub priority: u8,
     /// Regions whose targets may serve the route; empty allows all.
     pub regions: Vec<Name>,
+    /// Whether requests need no key, although there are teams.
+    pub is_public: bool,
     /// Destination of the requests.
     pub to: Destination,
 }
 
+/// A team whose callers authenticate with a key.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Team {
+    /// Name, unique within the configuration.
+    pub name: Name,
+    /// Keys of its callers.
+    pub keys: Vec<ApiKey>,
+    /// Requests per second that it may send to all nodes together; `None`
+    /// without a limit.
+    pub per_sec: Option<f64>,
+    /// Requests that it may send at once beyond that rate.
+    pub burst: f64,
+    /// Priority, which goes before that of the route; 0 is the highest.
+    pub priority: Option<u8>,
+    /// Regions whose targets may serve it; empty allows all.
+    pub regions: Vec<Name>,
+}
+
+/// A secret with which a caller authenticates. It is never printed.
+#[derive(Clone, PartialEq, Eq, Hash)]
+pub struct ApiKey(Arc<str>);
+
+impl ApiKey {
+    /// Wraps a key.
+    #[must_use]
+    pub fn new(key: &str) -> Self {
+        Self(Arc::from(key))
+    }
+
+    /// The secret itself, for comparison with what a caller sent.
+    #[must_use]
+    pub fn secret(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for ApiKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("ApiKey(..)")
+    }
+}
+
 /// Slow start of a service's targets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdStart {
@@ -109,6 +153,8 @@
     pub services: Vec<Service>,
     /// Limits on requests of callers.
     pub callers: CallerLimits,
+    /// Teams; without any, requests need no key.
+    pub teams: Vec<Team>,
 }
 
 /// A target's registration of itself.
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -27,6 +27,7 @@
         objective: Duration::from_millis(100),
         priority: 1,
         regions: Vec::new(),
+        is_public: false,
         to: Destination::Service(Name::from("lots")),
     }
 }
@@ -36,6 +37,7 @@
         version: 1,
         routes,
         services: Vec::new(),
+        teams: Vec::new(),
         callers: CallerLimits { body_bytes: 1 },
     };
     RouteTable::new(Arc::new(config), 7)
