--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -14,7 +14,7 @@
 use crate::callers::SentRequest;
 use crate::common::searcher::{Act, Searcher};
 use crate::common::{self, Site};
-use crate::node::Node;
+use crate::node::{self, Node};
 use crate::promises::{KnownSearcher, RECORDS, Recorded, Shutdown};
 use crate::proxy::{Link, Proxy};
 
@@ -79,6 +79,11 @@
     searcher_count: usize,
 }
 
+/// Replaces the build of a node by a restart, as an upgrade does.
+fn replace_build(node: usize) -> Vec<(u64, Step)> {
+    vec![(0, Step::Terminate(node)), (0, Step::CheckExit(node))]
+}
+
 impl Deployment {
     /// Starts the deployment and waits until all nodes are ready.
     pub async fn start(seed: u64, folder: &Path) -> Self {
@@ -170,8 +175,17 @@
     pub async fn inject_faults(&mut self) -> Vec<String> {
         let mut steps: Vec<(Duration, Step)> = Vec::new();
         let mut at = Duration::from_millis(300);
+        let mut faults = Vec::new();
+        if node::old_build().is_some() {
+            faults.extend((0..NODE_COUNT).map(replace_build));
+        }
         for _ in 0..FAULT_COUNT {
-            let fault = self.draw_fault();
+            faults.push(self.draw_fault());
+        }
+        if node::old_build().is_some() {
+            faults.extend((0..NODE_COUNT).rev().map(replace_build));
+        }
+        for fault in faults {
             let mut end = at;
             for (after, step) in fault {
                 end += Duration::from_millis(after);
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -4,7 +4,8 @@
 //! `SOAK_SEEDS=100..150 cargo test -p heatherrun-daemon --test soak` replaces
 //! the default seeds. Faults overlap with odd seeds and follow one another with
 //! even ones. The settings and logs of a run are kept in the directory that a
-//! failure names.
+//! failure names. With `SOAK_OLD_BUILD=PATH` all nodes start on that daemon, and
+//! each restart of a node changes between it and this build.
 
 #[path = "../../../../platform/tests/common/mod.rs"]
 mod common;
--- a/crates/daemon/tests/soak/node.rs
+++ b/crates/daemon/tests/soak/node.rs
@@ -31,6 +31,15 @@
     settings: PathBuf,
     log: PathBuf,
     process: Option<Child>,
+    /// Daemons of this node: each start takes the next one, in turn.
+    builds: Vec<PathBuf>,
+    starts: usize,
+}
+
+/// Daemon of an older build, which runs beside this one if the variable
+/// `SOAK_OLD_BUILD` holds its path.
+pub fn old_build() -> Option<PathBuf> {
+    std::env::var_os("SOAK_OLD_BUILD").map(PathBuf::from)
 }
 
 impl Node {
@@ -57,6 +66,11 @@
             settings,
             log: folder.join(format!("{name}.log")),
             process: None,
+            builds: old_build()
+                .into_iter()
+                .chain([PathBuf::from(env!("CARGO_BIN_EXE_heatherrund"))])
+                .collect(),
+            starts: 0,
         }
     }
 
@@ -64,7 +78,9 @@
     pub fn start(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.unwrap();
-        let process = Command::new(env!("CARGO_BIN_EXE_heatherrund"))
+        let build = &self.builds[self.starts % self.builds.len()];
+        self.starts += 1;
+        let process = Command::new(build)
             .arg(&self.settings)
             .stdout(log.try_clone().unwrap())
             .stderr(log)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,7 +21,7 @@
 use crate::state::State;
 
 /// Time for which a node is not asked after it did not reply.
-const RETRY_DELAY: Duration = Duration::from_secs(10);
+const RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// Maximum number of nodes remembered as unresponsive.
 const MAX_UNRESPONSIVE: usize = 1_024;
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -15,7 +15,7 @@
 use crate::nearest::nearest;
 
 /// Keys that may be left out, each after the name of its schema message.
-const OPTIONAL_KEYS: [(&str, &str); 17] = [
+const OPTIONAL_KEYS: [(&str, &str); 20] = [
     ("NodeSettings", "log"),
     ("NodeSettings", "metrics"),
     ("NodeSettings", "address_secs"),
@@ -23,6 +23,9 @@
     ("NodeSettings", "gateway"),
     ("GatewaySettings", "directory"),
     ("GatewaySettings", "scrape"),
+    ("GatewaySettings", "rollout"),
+    ("GatewaySettings", "teams"),
+    ("TeamSettings", "strict_revoke"),
     ("FailureDomain", "out"),
     ("Service", "sharded"),
     ("Service", "pooled"),
