Split the state machine of a request into small modules

Change: scatter/event.rs (events, calls, outcomes), shard.rs (progress of one shard), sending.rs (first calls, retries, hedges) and verdict.rs (answer or failure); the code is moved unchanged. The soak's break "twice" names the new file.

--- a/crates/daemon/tests/soak/breaks.sh
+++ b/crates/daemon/tests/soak/breaks.sh
@@ -12,7 +12,7 @@
 
 # Promise, file, and the sed command that breaks the promise.
 breaks=(
-    'twice|crates/routing/src/scatter.rs|s/Repeat::Once => shard.executed == 0 .. in_flight == 0,/Repeat::Once => true,/'
+    'twice|crates/routing/src/scatter/sending.rs|s/Repeat::Once => shard.executed == 0 .. in_flight == 0,/Repeat::Once => true,/'
     'refused|crates/gateway/src/serve/answer.rs|s/        if not_run {$/        if not_run || self.max_records.is_none() {/'
     'lost|crates/gateway/src/gateway.rs|s/let ended = self.callers.await;/self.callers.abort(); let ended = self.callers.await;/'
     'mixed|crates/routing/src/merge.rs|s/truncate(/truncate(1 + /'
