Recorded messages: requests with the fields of teams

Cause: OutgoingRequest has gained the team and the credential. Change: the test sets them to none, as for a deployment without teams; the recorded bytes are the same.

--- a/crates/gateway/tests/old_build.rs
+++ b/crates/gateway/tests/old_build.rs
@@ -119,6 +119,8 @@
         uri,
         headers,
         body,
+        team: None,
+        credential: None,
         is_part: false,
         deadline: heatherrun_kernel::Time::default(),
         route_latency: Arc::default(),
