Forwarding forgets nodes that have left the fleet

Cause: the map of the nodes that requests are forwarded to was emptied only when the links came back; in a long outage with changing addresses it grew without bound.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,9 +2,9 @@
 //! links to the targets. A forwarded request is never forwarded again.
 
 pub mod message;
+pub mod peer_load;
 
 use std::{
-    collections::HashMap,
     net::SocketAddr,
     sync::{
         Mutex, MutexGuard, PoisonError,
@@ -19,31 +19,18 @@
 use heatherrun_ports::http_reply::Reply;
 
 use self::message::{ForwardReply, ForwardedRequest};
+use self::peer_load::{PeerLoad, PeerLoads};
 use crate::peer_clients::{ForwardError, PeerClients};
 use crate::state::State;
 
 /// Maximum number of nodes that are asked to serve one request.
 const MAX_NODES_ASKED: usize = 3;
 
-/// Time for which a node is not asked after it could not serve a request.
-const UNABLE_TIME: Duration = Duration::from_secs(1);
-
 /// Maximum number of requests of other nodes that this node serves at the same
 /// time, and of its own that it forwards while its links are up.
 const MAX_ACCEPTED: usize = 256;
 const MAX_RETRIED: usize = 16;
 
-/// Time to a reply that is assumed of a node in this region and elsewhere, until
-/// one has been measured.
-const NEAR_REPLY_TIME: Duration = Duration::from_millis(30);
-const FAR_REPLY_TIME: Duration = Duration::from_millis(200);
-
-/// Inverse weight of one reply in the moving average of the time to it.
-const REPLY_WEIGHT_DIVISOR: u32 = 6;
-
-/// Factor by which a busy node's power counts as less.
-const BUSY_FACTOR: f64 = 4.0;
-
 /// How forwarding a request ended.
 #[derive(Debug)]
 pub enum Forwarded {
@@ -67,24 +54,12 @@
     }
 }
 
-/// Requests in progress at another node, and its speed.
-#[derive(Clone, Copy, Debug, Default)]
-struct PeerLoad {
-    in_progress: u32,
-    /// Moving average of the time to a reply; zero before the first one.
-    reply_time: Duration,
-    /// When it replied last.
-    last_reply: Time,
-    /// The node is not asked before this time.
-    unable_until: Time,
-}
-
 /// Forwards requests to other nodes and counts those of theirs that this node
 /// serves.
 #[derive(Default)]
 pub struct Forwarder {
     clients: PeerClients,
-    peers: Mutex<HashMap<SocketAddr, PeerLoad>>,
+    peers: Mutex<PeerLoads>,
     /// Requests of other nodes that this node serves now.
     accepted: AtomicUsize,
     /// Requests that are forwarded now although the links are up.
@@ -144,15 +119,15 @@
     /// these nodes.
     pub fn release(&self) {
         self.clients.retain(&[]);
-        self.lock().retain(|_, load| load.in_progress > 0);
+        self.lock().retain_busy();
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, PeerLoad>> {
+    fn lock(&self) -> MutexGuard<'_, PeerLoads> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn update(&self, peer: SocketAddr, change: impl FnOnce(&mut PeerLoad)) {
-        change(self.lock().entry(peer).or_default());
+        self.lock().update(peer, change);
     }
 
     /// Asks one node of `regions`, or of all regions if that is empty, after
@@ -198,7 +173,7 @@
             };
             let ended = state.clock.now();
             let Some(reply) = reply else {
-                self.update(peer, |load| load.unable_until = ended + UNABLE_TIME);
+                self.update(peer, |load| load.record_unable(ended));
                 continue;
             };
             self.update(peer, |load| load.record_reply(now, ended));
@@ -216,7 +191,8 @@
         regions: &[Name],
         asked: &[SocketAddr],
     ) -> Option<SocketAddr> {
-        let loads = self.lock();
+        let mut loads = self.lock();
+        loads.forget_unknown(&state.nodes.load());
         let out_domains = state.out_domains.load();
         let own = &state.own_entry;
         let may_ask = |n: &&NodeEntry| {
@@ -224,12 +200,9 @@
                 && !asked.contains(&n.peers)
                 && !out_domains.contains(&n.domain)
                 && (regions.is_empty() || regions.contains(&n.region))
-                && loads.get(&n.peers).is_none_or(|l| now >= l.unable_until)
-        };
-        let expected_time = |n: &NodeEntry| {
-            let load = loads.get(&n.peers).copied().unwrap_or_default();
-            load.expected_time(n, n.region == own.region)
+                && loads.may_ask(now, n.peers)
         };
+        let expected_time = |n: &NodeEntry| loads.expected_time(n, n.region == own.region);
         let best = |nodes: &[NodeEntry]| {
             let able = nodes.iter().filter(may_ask);
             let best = able.min_by(|a, b| expected_time(a).total_cmp(&expected_time(b)));
@@ -238,36 +211,3 @@
         best(&state.serving.load()).or_else(|| best(&state.nodes.load()))
     }
 }
-
-impl PeerLoad {
-    /// Records that a request sent at `sent_at` was lost. If another one was
-    /// answered meanwhile, the node itself is well.
-    fn record_loss(&mut self, sent_at: Time, now: Time) {
-        if self.last_reply < sent_at {
-            self.unable_until = now + UNABLE_TIME;
-        }
-    }
-
-    fn record_reply(&mut self, sent_at: Time, now: Time) {
-        self.last_reply = now;
-        let took = now.since(sent_at);
-        self.reply_time = if self.reply_time.is_zero() {
-            took
-        } else {
-            (self.reply_time * (REPLY_WEIGHT_DIVISOR - 1) + took) / REPLY_WEIGHT_DIVISOR
-        };
-    }
-
-    /// Expected time to the reply to one more request, relative to the power of
-    /// the node.
-    fn expected_time(&self, node: &NodeEntry, is_near: bool) -> f64 {
-        let reply_time = match self.reply_time {
-            Duration::ZERO if is_near => NEAR_REPLY_TIME,
-            Duration::ZERO => FAR_REPLY_TIME,
-            known => known,
-        };
-        let busy_factor = if node.busy { BUSY_FACTOR } else { 1.0 };
-        let requests = f64::from(self.in_progress) + 1.0;
-        requests * reply_time.as_secs_f64() * busy_factor / node.power.max(f64::EPSILON)
-    }
-}
