Teams authenticate with keys

A configuration with teams had no effect. Requests to routes that are not public now need a key of a team; searchers receive the team's name and never the key, also on hedges, retries and forwarded requests, which carry the credential and are authenticated again.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -4,13 +4,14 @@
 
 use bytes::Bytes;
 use heatherrun_kernel::Time;
+use heatherrun_kernel::routes::Name;
 use heatherrun_kernel::site::StatedLimit;
 use heatherrun_kernel::time::micros;
 use heatherrun_ports::http_client::{ExchangeError, Route, Whose};
 use heatherrun_routing::route_stats::RouteLatency;
 use heatherrun_routing::scatter::{CallEnd, CallIx, CallToSend};
 use heatherrun_routing::target::{LimitChange, Target};
-use http::{HeaderMap, Method, Request, Response, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::crash_tracker;
@@ -38,6 +39,11 @@
     pub headers: HeaderMap,
     /// Request body.
     pub body: Bytes,
+    /// Team of the caller; none without a known key.
+    pub team: Option<Name>,
+    /// Header with the caller's credential, for another node that serves the
+    /// request; no target receives it.
+    pub credential: Option<(HeaderName, HeaderValue)>,
     /// Whether the reply is merged with the replies of other shards.
     pub is_part: bool,
     /// Time at which the caller stops waiting.
@@ -50,7 +56,12 @@
     /// Fingerprint of the request.
     #[must_use]
     pub fn fingerprint(&self) -> u64 {
-        crash_tracker::request_fingerprint(&self.method, &self.uri, &self.body)
+        crash_tracker::request_fingerprint(
+            &self.method,
+            &self.uri,
+            self.team.as_deref(),
+            &self.body,
+        )
     }
 
     /// Hash of the request id; zero without one.
@@ -197,7 +208,8 @@
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
     *request.headers_mut() = outgoing.headers.clone();
-    (state.site.write_call)(request.headers_mut(), time_left, &target.entry.id);
+    let team = outgoing.team.as_deref();
+    (state.site.write_call)(request.headers_mut(), time_left, &target.entry.id, team);
     request
 }
 
--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -177,12 +177,18 @@
     }
 }
 
-/// Fingerprint of a request, equal for all attempts of a caller.
+/// Fingerprint of a request of a team, equal for all attempts of a caller.
 #[must_use]
-pub fn request_fingerprint(method: &Method, uri: &Uri, body: &[u8]) -> u64 {
+pub fn request_fingerprint(method: &Method, uri: &Uri, team: Option<&str>, body: &[u8]) -> u64 {
     let mut hash = Xxh3::new();
     hash.update(method.as_str().as_bytes());
     hash.update(uri.path_and_query().map_or("/", |p| p.as_str()).as_bytes());
+    if let Some(team) = team {
+        // Zero bytes occur in no header, so that the parts stay apart.
+        hash.update(b"\0");
+        hash.update(team.as_bytes());
+        hash.update(b"\0");
+    }
     hash.update(body);
     hash.digest()
 }
--- a/crates/gateway/src/forward/message.rs
+++ b/crates/gateway/src/forward/message.rs
@@ -1,6 +1,6 @@
 //! Requests that nodes forward to each other, and the replies.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use bytes::Bytes;
 use heatherrun_ports::http_reply::{Reply, respond, split_body};
@@ -11,6 +11,10 @@
 
 use crate::calls::OutgoingRequest;
 
+/// Header that says that the forwarding node has charged the request to its
+/// team. It is removed from callers' requests.
+pub const CHARGED: HeaderName = HeaderName::from_static("heatherrun-charged");
+
 /// What a forwarded request may still use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Terms {
@@ -42,8 +46,9 @@
     }
 }
 
-/// A request that one node forwards to another.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// A request that one node forwards to another. It carries the credential of its
+/// caller, which the other node checks again.
+#[derive(Clone, Serialize, Deserialize)]
 pub struct ForwardedRequest {
     method: String,
     uri: String,
@@ -57,10 +62,15 @@
     /// Forwards `outgoing` under these terms.
     #[must_use]
     pub fn new(outgoing: &OutgoingRequest, terms: Terms) -> Self {
+        let mut headers = encode_headers(&outgoing.headers);
+        headers.extend(outgoing.credential.as_ref().map(encode_header));
+        if outgoing.team.is_some() {
+            headers.push((CHARGED.as_str().to_owned(), Bytes::from_static(b"1")));
+        }
         Self {
             method: outgoing.method.to_string(),
             uri: outgoing.uri.to_string(),
-            headers: encode_headers(&outgoing.headers),
+            headers,
             body: outgoing.body.clone(),
             terms,
         }
@@ -81,6 +91,19 @@
     }
 }
 
+/// Leaves out the values of the headers, since they include the credential.
+impl fmt::Debug for ForwardedRequest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names: Vec<_> = self.headers.iter().map(|(name, _)| name).collect();
+        f.debug_struct("ForwardedRequest")
+            .field("method", &self.method)
+            .field("uri", &self.uri)
+            .field("headers", &names)
+            .field("terms", &self.terms)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Answer of a node to a forwarded request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ForwardReply {
@@ -126,13 +149,16 @@
 }
 
 fn encode_headers(headers: &HeaderMap) -> Vec<(String, Bytes)> {
-    let encode = |(name, value): (&HeaderName, &HeaderValue)| {
-        (
-            name.as_str().to_owned(),
-            Bytes::copy_from_slice(value.as_bytes()),
-        )
-    };
-    headers.iter().map(encode).collect()
+    headers.iter().map(encode_pair).collect()
+}
+
+fn encode_header((name, value): &(HeaderName, HeaderValue)) -> (String, Bytes) {
+    encode_pair((name, value))
+}
+
+fn encode_pair((name, value): (&HeaderName, &HeaderValue)) -> (String, Bytes) {
+    let value = Bytes::copy_from_slice(value.as_bytes());
+    (name.as_str().to_owned(), value)
 }
 
 fn decode_headers(headers: Vec<(String, Bytes)>) -> Result<HeaderMap, http::Error> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -292,10 +292,12 @@
         slack: settings.extra_slack,
         window: Duration::from_secs(u64::from(settings.extra_secs)),
     };
+    let strict = settings.teams.as_ref().filter(|t| t.strict_revoke);
     Ok(Deployment {
         regions,
         extra_call_limit,
         directory_ttl: Duration::from_secs(u64::from(settings.keep_secs)),
+        revoke_time: strict.map(|t| Duration::from_millis(t.revoke_ms)),
         seeds,
     })
 }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -83,6 +83,18 @@
     refusal
 }
 
+/// Rejects a request that lacks a known key.
+#[must_use]
+pub fn unauthorized() -> Reply {
+    let text = "not run: the route needs a known key; send Authorization: Bearer KEY";
+    let mut refusal = plain(StatusCode::UNAUTHORIZED, text);
+    let scheme = HeaderValue::from_static("Bearer");
+    refusal
+        .headers_mut()
+        .insert(header::WWW_AUTHENTICATE, scheme);
+    refusal
+}
+
 /// Reports that a request got no answer although a target may have run it.
 #[must_use]
 pub fn outcome_unknown(cause: Cause) -> Reply {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,6 +2,7 @@
 //! [`elsewhere`].
 
 mod answer;
+mod authenticate;
 mod elsewhere;
 
 use std::{
@@ -33,7 +34,7 @@
 use crate::calls::{self, EndedCall, OutgoingRequest};
 use crate::crash_tracker;
 use crate::forward::Forwarded;
-use crate::forward::message::{ForwardReply, ForwardedRequest, Terms};
+use crate::forward::message::{CHARGED, ForwardReply, ForwardedRequest, Terms};
 use crate::log_throttle::LineKind;
 use crate::reply;
 use crate::state::State;
@@ -64,7 +65,10 @@
     let is_current = table
         .as_ref()
         .is_some_and(|t| t.config().version >= terms.version);
-    let is_able = is_current && state.is_ready() && state.links.phase() == Phase::Up;
+    let is_outdated =
+        table.as_ref().is_some_and(|t| t.has_teams()) && state.is_outdated(state.clock.now());
+    let is_able =
+        is_current && !is_outdated && state.is_ready() && state.links.phase() == Phase::Up;
     let counted = state.forwarder.accept().filter(|_| is_able);
     if counted.is_none() {
         return ForwardReply::Unable;
@@ -94,8 +98,8 @@
     let uri = &received.head.uri;
     let host = received.head.headers.get(header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).or_else(|| uri.host());
-    let id = (state.site.parse_caller)(&received.head.headers).id;
-    let id = id.unwrap_or_default();
+    let head = (state.site.parse_caller)(&received.head.headers);
+    let id = head.id.unwrap_or_default();
     let Some(route) = table.route(host.unwrap_or_default(), uri.path()) else {
         let (host, path) = (host.unwrap_or_default(), uri.path());
         state.metrics.record_rejection("no-route");
@@ -104,8 +108,20 @@
         }
         return plain(StatusCode::NOT_FOUND, "no route for this host and path");
     };
-    let fingerprint =
-        || crash_tracker::request_fingerprint(&received.head.method, uri, &received.body);
+    let (route, team) = match authenticate::authorize(&state, &table, route, &head, start) {
+        Ok(authorized) => authorized,
+        Err(refusal) => return *refusal,
+    };
+    if let Some(team) = team {
+        // The team's quota is to be charged here, unless the forwarding node has.
+        let charged = authenticate::is_charged(terms, &received.head.headers);
+        log::debug!(id, team = &*team.name, charged; "request.team");
+    }
+    let team = team.map(|t| Arc::clone(&t.name));
+    let fingerprint = || {
+        let method = &received.head.method;
+        crash_tracker::request_fingerprint(method, uri, team.as_deref(), &received.body)
+    };
     let is_trial_node = |fingerprint| state.is_trial_node(fingerprint);
     if state
         .crash_tracker
@@ -121,8 +137,7 @@
             BANNED_RETRY_AFTER,
         );
     }
-    let route = route.clone();
-    let request = ActiveRequest::new(state, &table, route, received, start, terms);
+    let request = ActiveRequest::new(state, &table, route, team, received, start, terms);
     request.run().await
 }
 
@@ -146,6 +161,7 @@
 struct ActiveRequest {
     state: Arc<State>,
     table: Arc<RouteTable>,
+    /// The route with the priority and the regions of the team.
     route: Route,
     /// Services that the request is sent to, one for each shard; a
     /// [`RequestShard`] is an index into this list.
@@ -167,6 +183,7 @@
         state: Arc<State>,
         table: &Arc<RouteTable>,
         route: Route,
+        team: Option<Name>,
         received: Received,
         start: Time,
         terms: Option<Terms>,
@@ -203,7 +220,8 @@
             deadline: plan.end,
             is_part: max_records.is_some(),
             route_latency,
-            ..outgoing_request(&state, received)
+            team,
+            ..outgoing_request(&state, table.has_teams(), received)
         };
         Self {
             state,
@@ -449,13 +467,17 @@
 
 /// Builds the request for the targets from a caller's request, without the
 /// headers that concern only the caller's connection or this tier. The id, the
-/// deadline and the fields about the route are left for the caller to set.
-fn outgoing_request(state: &State, received: Received) -> OutgoingRequest {
+/// team, the deadline and the fields about the route are left for the caller to set.
+fn outgoing_request(state: &State, has_teams: bool, received: Received) -> OutgoingRequest {
     let mut headers = received.head.headers;
+    headers.remove(CHARGED);
+    let credential = has_teams
+        .then(|| authenticate::credential(state.site, &headers))
+        .flatten();
     reply::strip_connection_headers(&mut headers);
     let tier_headers = headers
         .keys()
-        .filter(|n| (state.site.is_reserved)(n.as_str()));
+        .filter(|n| (state.site.is_reserved)(n.as_str(), has_teams));
     for name in tier_headers.cloned().collect::<Vec<_>>() {
         headers.remove(name);
     }
@@ -467,6 +489,8 @@
         uri: path.parse().unwrap_or_default(),
         headers,
         body: received.body,
+        team: None,
+        credential,
         is_part: false,
         deadline: Time::default(),
         route_latency: Arc::default(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,7 +9,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -54,6 +54,9 @@
     /// saves them lookups at nodes that are gone; callers notice that a listed
     /// node left by its closed port.
     pub directory_ttl: Duration,
+    /// Age of this node's view of the store from which requests that need a key
+    /// are refused; none if they never are.
+    pub revoke_time: Option<Duration>,
     /// Nodes to request the store's changes from before others are known.
     pub seeds: Vec<SocketAddr>,
 }
@@ -103,6 +106,8 @@
     lookups: AtomicUsize,
     /// Whether this node's threads wait long for the processor.
     is_busy: AtomicBool,
+    /// The view's `fresh_at` in microseconds, for requests.
+    fresh_at: AtomicU64,
     /// Suspicions against crash-causing requests, oldest first, and the number
     /// of all before them.
     suspicions: Mutex<(u64, VecDeque<Suspicion>)>,
@@ -156,6 +161,7 @@
             serving: ArcSwap::default(),
             lookups: AtomicUsize::new(0),
             is_busy: AtomicBool::new(false),
+            fresh_at: AtomicU64::new(0),
             suspicions: Mutex::default(),
             route_stats: RouteStats::default(),
             target_client: Client::default(),
@@ -270,6 +276,17 @@
         self.clock.now().since(self.lock().fresh_at)
     }
 
+    /// Whether keys that were revoked meanwhile might still be valid here, and
+    /// requests that need a key must be refused for it.
+    #[must_use]
+    pub fn is_outdated(&self, now: Time) -> bool {
+        let revoke_time = self.deployment.load().revoke_time;
+        revoke_time.is_some_and(|revoke_time| {
+            let fresh_at = Time(self.fresh_at.load(Ordering::Acquire));
+            now.since(fresh_at) > revoke_time
+        })
+    }
+
     /// Changes after a position, for another node, and the age of the feed.
     #[must_use]
     pub fn changes_since(&self, after: Position) -> (Delta, Duration) {
--- a/crates/gateway/src/state/apply.rs
+++ b/crates/gateway/src/state/apply.rs
@@ -1,7 +1,11 @@
 //! Applies changes of the store to the state of a node, and publishes what
 //! follows for requests.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{
+    collections::HashSet,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Config, Name, StoreItem, TargetEntry};
@@ -70,6 +74,9 @@
         if targets_changed {
             self.services.store(Arc::new(store_view.fleet.services()));
         }
+        // Published after the changes are in force, since requests rely on it.
+        self.fresh_at
+            .store(store_view.fresh_at.0, Ordering::Release);
         self.publish_nodes(&mut store_view, now);
         for target in store_view.fleet.take_ended() {
             self.crash_tracker.record_target_end(now, &target);
@@ -189,6 +196,13 @@
         self.route_stats
             .retain(|n| routes.contains(n), |n| services.contains(n));
         let new_table = RouteTable::new(Arc::new(config), now.0);
+        let shared = new_table.shared_keys();
+        let shared: Vec<_> = shared.map(|(a, b)| format!("{a},{b}")).collect();
+        if !shared.is_empty() {
+            let teams = shared.join(";");
+            let teams = teams.as_str();
+            log::warn!(teams, version = new_table.config().version; "config.shared-key");
+        }
         self.route_table.store(Some(Arc::new(new_table)));
     }
 
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -29,6 +29,8 @@
         uri: "/one/a%20b?q=%C3%A9&r=".parse().unwrap(),
         headers: headers.clone(),
         body: Bytes::from_static(&[0, 255, 10]),
+        team: None,
+        credential: None,
         is_part: false,
         deadline: heatherrun_kernel::Time::default(),
         route_latency: std::sync::Arc::default(),
--- a/crates/kernel/src/routes.rs
+++ b/crates/kernel/src/routes.rs
@@ -2,9 +2,10 @@
 //! one versioned value, and the entries under which targets and nodes register
 //! themselves in the platform's store.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{borrow::Borrow, net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Name of a service, target, route, region or failure domain.
 pub type Name = Arc<str>;
@@ -91,7 +92,8 @@
     pub regions: Vec<Name>,
 }
 
-/// A secret with which a caller authenticates. It is never printed.
+/// A secret with which a caller authenticates. Its `Debug` output has only a
+/// prefix of its hash.
 #[derive(Clone, PartialEq, Eq, Hash)]
 pub struct ApiKey(Arc<str>);
 
@@ -109,9 +111,17 @@
     }
 }
 
+/// Allows a lookup by what a caller sent.
+impl Borrow<str> for ApiKey {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 impl std::fmt::Debug for ApiKey {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("ApiKey(..)")
+        // Sixteen bits tell keys apart, but do not identify one.
+        write!(f, "ApiKey(#{:04x})", xxh3_64(self.0.as_bytes()) >> 48)
     }
 }
 
--- a/crates/kernel/src/site.rs
+++ b/crates/kernel/src/site.rs
@@ -2,12 +2,47 @@
 //! functions: names of keys and headers, parsing and formatting. Decisions are
 //! made elsewhere.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 
 use crate::routes::StoreItem;
 
+/// What a caller's request says of who sent it. Its `Debug` output never has the
+/// key.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+pub enum Credential<'a> {
+    /// It has no credential.
+    #[default]
+    Missing,
+    /// It has something that cannot be a key.
+    Malformed,
+    /// It has this key, which may be unknown.
+    Key(&'a str),
+}
+
+impl Credential<'_> {
+    /// Reason in logs for which it does not authenticate a request.
+    #[must_use]
+    pub const fn fault(self) -> &'static str {
+        match self {
+            Self::Missing => "missing",
+            Self::Malformed => "malformed",
+            Self::Key(_) => "unknown",
+        }
+    }
+}
+
+impl fmt::Debug for Credential<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Missing => "Missing",
+            Self::Malformed => "Malformed",
+            Self::Key(_) => "Key(..)",
+        })
+    }
+}
+
 /// Values from the headers of a caller's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerHead<'a> {
@@ -15,6 +50,8 @@
     pub id: Option<&'a str>,
     /// Time for which the caller still waits.
     pub time_left: Option<Duration>,
+    /// Key with which the caller authenticates.
+    pub credential: Credential<'a>,
 }
 
 /// What a reply says of the rate of calls that its target takes from all nodes
@@ -72,7 +109,7 @@
 }
 
 /// Wire formats of one deployment.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Site {
     /// Name of the plug-in.
     pub name: &'static str,
@@ -90,11 +127,14 @@
     /// Parses the headers of a caller's request.
     pub parse_caller: fn(&HeaderMap) -> CallerHead<'_>,
     /// Whether the tier sets this header of a call itself, so that the caller's
-    /// value is not forwarded.
-    pub is_reserved: fn(&str) -> bool,
-    /// Sets the headers of a call: the time left and the name of the expected
-    /// target instance.
-    pub write_call: fn(&mut HeaderMap, Duration, &str),
+    /// value is not forwarded. The second argument says whether there are
+    /// teams.
+    pub is_reserved: fn(&str, bool) -> bool,
+    /// Name of the header that has the credential.
+    pub credential_header: HeaderName,
+    /// Sets the headers of a call: the time left, the name of the expected
+    /// target instance, and the name of the caller's team.
+    pub write_call: fn(&mut HeaderMap, Duration, &str, Option<&str>),
     /// Parses the status and headers of a target's reply.
     pub parse_reply: fn(StatusCode, &HeaderMap) -> ReplyHead<'_>,
     /// Sets the headers of a merged answer: the signatures of the merged
--- a/crates/report/src/story.rs
+++ b/crates/report/src/story.rs
@@ -17,7 +17,7 @@
 const MAX_AROUND: usize = 40;
 
 /// Events that end a request, and the outcome that each stands for.
-const OUTCOMES: [(&str, &str); 7] = [
+const OUTCOMES: [(&str, &str); 9] = [
     ("request.answered", "answered"),
     ("request.partial", "answered without some shards"),
     ("request.failed", "not answered"),
@@ -28,10 +28,18 @@
         "refused: no route for its host and path",
     ),
     ("request.banned", "refused: it crashes its targets"),
+    (
+        "request.unauthorized",
+        "refused: its key does not authenticate it",
+    ),
+    (
+        "request.no-region",
+        "refused: its route and its team have no region in common",
+    ),
 ];
 
 /// Causes in log lines, and the meaning of each.
-const REASONS: [(&str, &str); 8] = [
+const REASONS: [(&str, &str); 12] = [
     ("no-target", "no searcher is known that may be sent it"),
     (
         "no-room",
@@ -43,6 +51,22 @@
     ),
     ("not-sent", "no searcher could be reached"),
     ("refused", "searchers said that they did not run it"),
+    (
+        "missing",
+        "401: the route is not public, and the request had no key",
+    ),
+    (
+        "malformed",
+        "401: Authorization is not one \"Bearer KEY\" of visible ASCII",
+    ),
+    (
+        "unknown",
+        "401: no team of the node's configuration has the key",
+    ),
+    (
+        "outdated",
+        "503: the node's configuration was too old to trust a key",
+    ),
     ("late", "no reply came in time"),
     ("failed", "a searcher answered with a failure"),
     (
--- a/crates/report/tests/story.rs
+++ b/crates/report/tests/story.rs
@@ -110,3 +110,14 @@
         let _ = Story::of(&all, "1");
     }
 }
+
+#[test]
+fn story_unauthorized_request_names_the_fault_of_its_key() {
+    let log =
+        "event=request.unauthorized time=1.0 level=info vm=front-1 id=k1 route=r-a cause=unknown";
+    let all: Vec<_> = lines(log).collect();
+    let story = Story::of(&all, "k1").unwrap();
+    let outcome = story.outcome.as_deref();
+    assert_eq!(outcome, Some("refused: its key does not authenticate it"));
+    assert!(story.reason.unwrap().starts_with("unknown: 401"));
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod shares;
 pub mod table;
 pub mod target;
+pub mod teams;
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -9,14 +9,16 @@
     },
 };
 
-use heatherrun_kernel::routes::{Config, Name, Route, Service, SplitPart};
+use heatherrun_kernel::routes::{Config, Name, Route, Service, SplitPart, Team};
+
+use crate::teams::KeyIndex;
 
 /// Step of the golden-ratio sequence, a 64-bit fraction: consecutive points
 /// spread evenly, so that each part's share holds over any short run of
 /// requests.
 const GOLDEN_STEP: u64 = 0x9E37_79B9_7F4A_7C15;
 
-/// A configuration with lookup by host and by service.
+/// A configuration with lookup by host, by service and by key.
 #[derive(Debug)]
 pub struct RouteTable {
     config: Arc<Config>,
@@ -24,6 +26,8 @@
     hosts: HashMap<String, Vec<usize>>,
     /// Indices of the services by name.
     services: HashMap<Name, usize>,
+    /// Teams by key.
+    keys: KeyIndex,
     /// Position in the golden-ratio sequence that chooses parts of splits.
     split_position: AtomicU64,
 }
@@ -44,10 +48,12 @@
         }
         let services = config.services.iter().enumerate();
         let services = services.map(|(ix, s)| (Arc::clone(&s.name), ix)).collect();
+        let keys = KeyIndex::new(&config.teams);
         Self {
             config,
             hosts,
             services,
+            keys,
             split_position: AtomicU64::new(seed),
         }
     }
@@ -72,6 +78,25 @@
         self.services.get(name).map(|ix| &self.config.services[*ix])
     }
 
+    /// Whether there are teams, so that requests need a key.
+    #[must_use]
+    pub fn has_teams(&self) -> bool {
+        !self.config.teams.is_empty()
+    }
+
+    /// Team that the key belongs to.
+    #[must_use]
+    pub fn team(&self, key: &str) -> Option<&Team> {
+        self.keys.team(key).map(|ix| &self.config.teams[ix.0])
+    }
+
+    /// Names of the teams that share a key, in pairs.
+    pub fn shared_keys(&self) -> impl Iterator<Item = (&Name, &Name)> {
+        let name = |ix: usize| &self.config.teams[ix].name;
+        let pairs = self.keys.shared().iter();
+        pairs.map(move |(first, later)| (name(first.0), name(later.0)))
+    }
+
     /// Chooses the part of a traffic split for the next request; `None` if the
     /// weights add up to zero.
     #[must_use]
