--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -15,7 +15,9 @@
 use crate::nearest::nearest;
 
 /// Keys that may be left out, each after the name of its schema message.
-const OPTIONAL_KEYS: [(&str, &str); 17] = [
+const OPTIONAL_KEYS: [(&str, &str); 19] = [
+    ("GatewaySettings", "rollout"),
+    ("GatewaySettings", "teams"),
     ("NodeSettings", "log"),
     ("NodeSettings", "metrics"),
     ("NodeSettings", "address_secs"),
--- a/crates/settings/tests/examples.rs
+++ b/crates/settings/tests/examples.rs
@@ -80,3 +80,47 @@
 fn check_node_example() {
     assert!(matches!(read_example("node.jsonc"), Settings::Node(_)));
 }
+
+/// Renders the settings template as the platform does, with the same value for
+/// most of its fields.
+fn render_template(has_teams: bool) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/node.jsonc");
+    let template = fs::read_to_string(path).unwrap();
+    let (mut text, mut rest) = (String::new(), &*template);
+    while let Some((before, tag)) = rest.split_once("{{") {
+        let (name, after) = tag.split_once("}}").unwrap();
+        text.push_str(before);
+        rest = after;
+        let skipped = name.strip_prefix('#');
+        let skipped = skipped.filter(|s| !has_teams || *s != "bounds.quotaWindowS");
+        if let Some(section) = skipped {
+            let end = format!("{{{{/{section}}}}}");
+            rest = after.split_once(end.as_str()).unwrap().1;
+        } else if !name.starts_with(['#', '/']) {
+            // Each address has a port of its own.
+            let address = format!("\"10.0.0.1:{}\"", text.len());
+            text.push_str(match name {
+                "bounds.strictRevoke" => "true",
+                "seeds|json" => "[]",
+                "ip" => "10.0.0.1",
+                "nodeName|json" | "zone|json" | "region|json" => "\"a\"",
+                _ if name.ends_with("|json") => &address,
+                _ => "1",
+            });
+        }
+    }
+    text + rest
+}
+
+/// Guards against a template that is valid in deployments with teams only, or
+/// without them only.
+#[test]
+fn read_node_template_with_and_without_teams() {
+    for has_teams in [false, true] {
+        let text = render_template(has_teams);
+        let node = read_node("node.jsonc", &text).unwrap_or_else(|e| panic!("{e}\n{text}"));
+        let teams = node.value.gateway.unwrap().teams;
+        assert_eq!(teams.is_some(), has_teams);
+        assert!(teams.is_none_or(|t| t.strict_revoke && t.revoke_ms == 1));
+    }
+}
