Requests that lack a shard for their answer come first for extra calls

Cause: hedges and shards that an answer can do without took extra calls from the same budget as the retries that complete an answer, so that those found none. Change: an extra call is asked for with its need. Hedges and shards that are not needed may use 70% of the limit; a request that lacks one shard all of it; each further shard (up to four) keeps 5%, each step of priority (up to four) 1%. The limit itself is unchanged. Tests: the limit holds in any window for any mixture of needs (seeded), the reserve is left in the stated order, and a request counts the shards that its answer lacks.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -372,13 +372,14 @@
         };
         let context = Context {
             choose: &|shard, tried| self.choose_target(now, &services, shard, tried, &constraints),
-            take_extra: &|shard| {
+            take_extra: &|shard, need| {
                 let service = &self.shards[shard];
                 state.route_stats.take_extra(
                     now,
                     service,
                     &state.deployment.load().extra_call_limit,
                     state.shares.load().total_share,
+                    need.usable_share(self.route.priority),
                 )
             },
             hedge_delay: &|target| {
--- a/crates/routing/src/route_stats.rs
+++ b/crates/routing/src/route_stats.rs
@@ -126,6 +126,7 @@
 
     /// Consumes one extra call to `service` from the budget; false if it is
     /// exhausted. `node_share` is the share of the slack that this node may
+    /// use, and `usable_share` the part of the budget that calls of this kind may
     /// use.
     pub fn take_extra(
         &self,
@@ -133,10 +134,11 @@
         service: &Name,
         limit: &ExtraCallLimit,
         node_share: f64,
+        usable_share: f64,
     ) -> bool {
         let mut windows = lock(&self.extra_calls);
         let window = windows.entry(Arc::clone(service)).or_default();
-        window.try_take(now, limit, node_share)
+        window.try_take(now, limit, node_share, usable_share)
     }
 
     /// Removes the routes and services for which the predicates return false
--- a/crates/routing/src/scatter/event.rs
+++ b/crates/routing/src/scatter/event.rs
@@ -6,6 +6,7 @@
 use heatherrun_kernel::routes::Name;
 
 use crate::choice::Hold;
+use crate::extra_calls::Need;
 use crate::target::Target;
 
 /// Index of a call within its request, in the order of sending.
@@ -187,8 +188,8 @@
     /// Chooses a target of the shard that is not among those already tried.
     pub choose: &'a dyn Fn(RequestShard, &[Name]) -> TargetChoice,
     /// Consumes one extra call to the shard from the budget; false when the
-    /// budget is exhausted.
-    pub take_extra: &'a dyn Fn(RequestShard) -> bool,
+    /// budget is exhausted for calls with this need.
+    pub take_extra: &'a dyn Fn(RequestShard, Need) -> bool,
     /// Delay after which a call to the target is overdue and is hedged.
     pub hedge_delay: &'a dyn Fn(&Target) -> Duration,
     /// Records that a call to the target is overdue; false if another target is
--- a/crates/routing/src/scatter/sending.rs
+++ b/crates/routing/src/scatter/sending.rs
@@ -9,6 +9,7 @@
 use super::event::{CallToSend, Cause, Context, Reason, RequestShard, TargetChoice};
 use super::shard::InFlightCall;
 use super::waiting::{BUDGET_RETRY_DELAY, CAPACITY_RETRY_DELAY};
+use crate::extra_calls::Need;
 use crate::target::Target;
 
 /// Delay before another attempt to hedge while no target replies.
@@ -75,7 +76,7 @@
             self.wait_for_target(now, ix, &choice);
             return;
         };
-        if shard.reached_target && !(cx.take_extra)(ix) {
+        if shard.reached_target && !(cx.take_extra)(ix, self.need(ix)) {
             self.wait_for_budget(now, ix);
             return;
         }
@@ -149,7 +150,7 @@
             TargetChoice::Target(target) if !target.is_queueing(now) && !target.is_avoided(now) => {
                 // An overdue call counts as having reached its target.
                 shard.reached_target = true;
-                if (cx.take_extra)(ix) {
+                if (cx.take_extra)(ix, Need::Optional) {
                     self.send(now, ix, target, Reason::Hedge, cx, calls_to_send);
                 } else {
                     shard.hedge_at = Some(now + BUDGET_RETRY_DELAY);
--- a/crates/routing/src/scatter/verdict.rs
+++ b/crates/routing/src/scatter/verdict.rs
@@ -5,6 +5,7 @@
 use super::Scatter;
 use super::event::{Cause, RequestShard, Verdict};
 use crate::choice::Hold;
+use crate::extra_calls::Need;
 
 /// Tolerance for rounding errors when the share of answered shards is compared
 /// with the minimum.
@@ -64,6 +65,20 @@
         holds.get(needed - 1).copied()
     }
 
+    /// What another call of the shard is needed for: whether the shards with a
+    /// part or a call in flight make an answer without it.
+    pub(super) fn need(&self, ix: RequestShard) -> Need {
+        let others = self.shards.iter().enumerate().filter(|(n, _)| *n != ix);
+        let others = others.filter(|(_, s)| s.part.is_some() || !s.in_flight.is_empty());
+        let others = others.count();
+        match (0..=self.shards.len()).find(|n| self.meets_min_share(others + n)) {
+            Some(0) => Need::Optional,
+            missing => {
+                Need::Missing(missing.map_or(u16::MAX, |n| u16::try_from(n).unwrap_or(u16::MAX)))
+            }
+        }
+    }
+
     /// Whether this number of answered shards makes an answer.
     pub(super) fn meets_min_share(&self, answered: usize) -> bool {
         #[expect(
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -7,7 +7,7 @@
 
 use common::{at, ms, node};
 use heatherrun_kernel::routes::Name;
-use heatherrun_routing::extra_calls::{ExtraCallLimit, ExtraCallWindow};
+use heatherrun_routing::extra_calls::{ExtraCallLimit, ExtraCallWindow, Need};
 use heatherrun_routing::shares::Shares;
 use proptest::prelude::*;
 
@@ -22,13 +22,14 @@
 
     /// In any window of ten seconds extra calls stay within the limit.
     #[test]
-    fn try_take_any_window_stays_within_limit(steps in prop::collection::vec((0..400_u64, any::<bool>()), 1..400)) {
+    fn try_take_any_window_stays_within_limit(steps in prop::collection::vec((0..400_u64, any::<bool>(), 0..6_u16), 1..400)) {
         let mut window = ExtraCallWindow::default();
         let (mut requests, mut extra) = (Vec::new(), Vec::new());
         let mut now = 0;
-        for (step, is_extra) in steps {
+        for (step, is_extra, missing) in steps {
             now += step;
-            if is_extra && window.try_take(at(now), &LIMIT, 0.125) {
+            let need = if missing == 0 { Need::Optional } else { Need::Missing(missing) };
+            if is_extra && window.try_take(at(now), &LIMIT, 0.125, need.usable_share(0)) {
                 extra.push(now);
             } else if !is_extra {
                 window.record_request(at(now), &LIMIT);
@@ -48,6 +49,30 @@
     }
 }
 
+/// Hedges take all that they may. What they leave goes to requests that lack
+/// shards for an answer, and most of it to those that lack one.
+#[test]
+fn try_take_leaves_a_reserve_for_requests_near_their_answer() {
+    let mut window = ExtraCallWindow::default();
+    for _ in 0..500 {
+        window.record_request(at(0), &LIMIT);
+    }
+    let mut take_all = |need: Need, priority| {
+        let usable = need.usable_share(priority);
+        (0..500)
+            .filter(|_| window.try_take(at(1), &LIMIT, 1.0, usable))
+            .count()
+    };
+    // The limit is 0.85 of 156 extra calls.
+    assert_eq!(take_all(Need::Optional, 0), 92);
+    assert!(take_all(Need::Missing(9), 9) > 0);
+    assert!(take_all(Need::Missing(2), 9) > 0);
+    assert!(take_all(Need::Missing(2), 0) > 0);
+    assert_eq!(take_all(Need::Missing(2), 9), 0);
+    assert!(take_all(Need::Missing(1), 0) > 0);
+    assert_eq!(take_all(Need::Optional, 0), 0);
+}
+
 /// Failure domains "x" and "y", each a region of its own.
 fn domains() -> HashMap<Name, Name> {
     let names = ["x", "y"].map(Name::from);
--- a/crates/routing/tests/common/test_node.rs
+++ b/crates/routing/tests/common/test_node.rs
@@ -1,6 +1,6 @@
 //! A node for the tests of the state machine of one request.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -8,6 +8,7 @@
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::Repeat;
 use heatherrun_routing::choice::Hold;
+use heatherrun_routing::extra_calls::Need;
 use heatherrun_routing::plan::Plan;
 use heatherrun_routing::scatter::{CallToSend, Context, TargetChoice};
 use heatherrun_routing::target::{Distance, Target};
@@ -20,6 +21,8 @@
     pub shards: Vec<Vec<Arc<Target>>>,
     pub extra: Cell<u32>,
     pub full: Cell<bool>,
+    /// Needs of the extra calls that were asked for.
+    pub needs: RefCell<Vec<Need>>,
 }
 
 impl TestNode {
@@ -38,6 +41,7 @@
             shards: (0..shards).map(shard).collect(),
             extra: Cell::new(u32::MAX),
             full: Cell::new(false),
+            needs: RefCell::default(),
         }
     }
 
@@ -56,7 +60,8 @@
                     None => TargetChoice::NoTarget,
                 }
             },
-            take_extra: &|_| {
+            take_extra: &|_, need| {
+                self.needs.borrow_mut().push(need);
                 let left = self.extra.get();
                 self.extra.set(left.saturating_sub(1));
                 left > 0
--- a/crates/routing/tests/waiting.rs
+++ b/crates/routing/tests/waiting.rs
@@ -6,6 +6,7 @@
 use common::test_node::{TestNode, once_plan};
 use common::{at, ms, plan};
 use heatherrun_kernel::Time;
+use heatherrun_routing::extra_calls::Need;
 use heatherrun_routing::plan::Plan;
 use heatherrun_routing::scatter::{CallEnd, CallToSend, Cause, Scatter, Verdict};
 
@@ -192,3 +193,25 @@
         }
     }
 }
+
+#[test]
+fn call_ended_need_counts_shards_that_an_answer_lacks() {
+    // Searches that lack one shard must not wait behind the retries of shards
+    // that their answers can do without.
+    let cases = [
+        (0.95, 1, Need::Optional),
+        (1.0, 1, Need::Missing(1)),
+        (0.95, 3, Need::Missing(2)),
+    ];
+    for (min_share, lacking, expected) in cases {
+        let node = TestNode::new(36, 1);
+        node.extra.set(0);
+        let mut scatter = Scatter::new(search_plan(min_share), 36);
+        node.with(|cx| scatter.start(at(0), cx));
+        for call in 0..lacking {
+            node.with(|cx| scatter.call_ended(at(2), call, CallEnd::NotRun, cx));
+        }
+        node.with(|cx| scatter.tick(at(22), cx));
+        assert_eq!(node.needs.borrow().last(), Some(&expected), "{min_share}");
+    }
+}
