Targets that refuse calls are sent fewer of them

Cause: a target that refused a call was called again at the full rate as soon as no other target was left. Each refused call delays its request and costs an extra call of the budget. Other targets of the shard are preferred as before.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -366,9 +366,10 @@
             is_excluded: &|domain| out_domains.contains(domain),
             next_call: &|target| {
                 let pace = self.pace(now, target);
-                pace.map_or(now, |pace| target.pacer.next_call(now, pace))
+                let next_call = pace.map_or(now, |pace| target.pacer.next_call(now, pace));
+                next_call.max(target.refusals.resume_at())
             },
-            max_calls: &|target| u32::from(self.max_calls(target)),
+            max_calls: &|target| u32::from(self.max_calls(target)).min(target.refusals.max_calls()),
         };
         let context = Context {
             choose: &|shard, tried| self.choose_target(now, &services, shard, tried, &constraints),
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -12,6 +12,7 @@
 use heatherrun_kernel::time::micros;
 
 use crate::pacer::Pacer;
+use crate::refusals::RefusalLimit;
 
 /// Inverse weight of one reply in the moving average of the latency.
 const LATENCY_WEIGHT_DIVISOR: u64 = 6;
@@ -141,6 +142,8 @@
     pub distance: Distance,
     /// Slots for the calls of this node while the target takes a limited rate.
     pub pacer: Pacer,
+    /// Limit learnt from its refusals.
+    pub refusals: RefusalLimit,
     /// Sequence number of the newest report.
     report_count: AtomicU64,
     draining: AtomicBool,
@@ -189,6 +192,7 @@
             region: location.region,
             distance: location.distance,
             pacer: Pacer::default(),
+            refusals: RefusalLimit::default(),
             report_count: AtomicU64::new(entry.report_seq),
             draining: AtomicBool::new(entry.draining),
             leaving: AtomicBool::new(false),
@@ -408,6 +412,7 @@
             self.reported_load.store(reported_load, Ordering::Relaxed);
         }
         self.record_outcome(now, false);
+        self.refusals.record_accepted();
         self.update_latency(now, took);
     }
 
@@ -445,6 +450,7 @@
             self.reported_load.store(reported_load, Ordering::Relaxed);
         }
         self.record_outcome(now, true);
+        self.refusals.record_refusal(now);
         let until = (now + REFUSAL_BACKOFF).0;
         self.avoid_until.fetch_max(until, Ordering::Relaxed);
     }
