A shard whose targets are all silent is left out of searches that can do without it

Cause: each search called a shard that was down and waited for it until its point of answer. Change: a target is silent after two failed calls or overdue periods in a row and 0.5 s without a reply. Left out shards, also those that were held at the start, are recalled when the others no longer make an answer.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -26,6 +26,7 @@
 use heatherrun_routing::scatter::{
     CallToSend, Context, RequestShard, Scatter, TargetChoice, Verdict,
 };
+use heatherrun_routing::silence::silence;
 use heatherrun_routing::table::RouteTable;
 use heatherrun_routing::target::Target;
 use http::{Response, StatusCode, header};
@@ -312,9 +313,16 @@
             }
         };
         if !calls.is_empty() {
+            // The reply to a call that tries a silent shard may be slow.
+            let time_left = scatter.end().time_left(state.clock.now());
+            let timeout = if scatter.is_trying_silent() {
+                time_left.max(UNNEEDED_CALL_TIMEOUT)
+            } else {
+                UNNEEDED_CALL_TIMEOUT
+            };
             tokio::spawn(async move {
                 let unneeded = calls.for_each(|_| std::future::ready(()));
-                let _ = tokio::time::timeout(UNNEEDED_CALL_TIMEOUT, unneeded).await;
+                let _ = tokio::time::timeout(timeout, unneeded).await;
             });
         }
         // Another node may run a request that is still there.
@@ -383,6 +391,10 @@
                     need.usable_share(self.route.priority),
                 )
             },
+            silence: &|shard| {
+                let targets = services.get(&self.shards[shard]).map_or(&[][..], |t| t);
+                silence(now, targets, |t| choice::may_serve(t, &constraints))
+            },
             hedge_delay: &|target| {
                 self.outgoing
                     .route_latency
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod route_stats;
 pub mod scatter;
 pub mod shares;
+pub mod silence;
 pub mod table;
 pub mod target;
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -6,6 +6,7 @@
 //! that drives it keeps their replies.
 
 mod event;
+mod left_out;
 mod sending;
 mod shard;
 mod verdict;
@@ -120,9 +121,13 @@
     /// run, so that its caller may come back.
     pub fn start(&mut self, now: Time, cx: &Context<'_>) -> Vec<CallToSend> {
         let mut calls_to_send = Vec::with_capacity(self.shards.len());
+        let silent = self.silent_shards(cx);
         for ix in 0..self.shards.len() {
-            self.try_send(now, ix, Reason::First, cx, &mut calls_to_send);
+            if silent.iter().all(|(silent, _)| *silent != ix) {
+                self.try_send(now, ix, Reason::First, cx, &mut calls_to_send);
+            }
         }
+        self.start_silent(now, &silent, cx, &mut calls_to_send);
         let pending = self.shards.iter().filter(|s| s.is_pending()).count();
         if !self.meets_min_share(pending) {
             for call in calls_to_send.drain(..) {
@@ -195,6 +200,7 @@
             self.shards[ix].record_refusal(ended_call.target, readmit_at);
         }
         self.retry(now, ix, cx, &mut calls_to_send);
+        self.recall_left_out(now, cx, &mut calls_to_send);
         calls_to_send
     }
 
@@ -219,6 +225,7 @@
                 self.hedge(now, ix, cx, &mut calls_to_send);
             }
         }
+        self.recall_left_out(now, cx, &mut calls_to_send);
         calls_to_send
     }
 
--- a/crates/routing/src/scatter/event.rs
+++ b/crates/routing/src/scatter/event.rs
@@ -7,6 +7,7 @@
 
 use crate::choice::Hold;
 use crate::extra_calls::Need;
+use crate::silence::Silence;
 use crate::target::Target;
 
 /// Index of a call within its request, in the order of sending.
@@ -56,6 +57,8 @@
     Quiet,
     /// All targets take a limited rate, and this node's share of it is used up.
     Limited,
+    /// The targets did not reply to earlier requests, and the shard was left out.
+    Silent,
     /// The request could not be sent to a target.
     NotSent,
     /// A target refused the request without running it.
@@ -86,6 +89,7 @@
             Self::AtCapacity => "no-room",
             Self::Quiet => "quiet",
             Self::Limited => "limited",
+            Self::Silent => "silent",
             Self::NotSent => "not-sent",
             Self::Refused => "refused",
             Self::Late => "late",
@@ -190,6 +194,8 @@
     /// Consumes one extra call to the shard from the budget; false when the
     /// budget is exhausted for calls with this need.
     pub take_extra: &'a dyn Fn(RequestShard, Need) -> bool,
+    /// Whether all targets of the shard are silent.
+    pub silence: &'a dyn Fn(RequestShard) -> Silence,
     /// Delay after which a call to the target is overdue and is hedged.
     pub hedge_delay: &'a dyn Fn(&Target) -> Duration,
     /// Records that a call to the target is overdue; false if another target is
--- a/crates/routing/src/scatter/shard.rs
+++ b/crates/routing/src/scatter/shard.rs
@@ -46,6 +46,8 @@
     pub part: Option<CallIx>,
     /// Greatest cause of failure so far.
     pub cause: Option<Cause>,
+    /// Whether the answer does not wait for it, since its targets are silent.
+    pub is_left_out: bool,
     /// When the first of its targets may be sent a call, and why none may now.
     pub held: Option<(Time, Hold)>,
 }
@@ -72,10 +74,10 @@
         true
     }
 
-    /// Whether the shard may get a part before `time`.
+    /// Whether the shard may get a part before `time` that is waited for.
     pub fn may_answer_before(&self, time: Time) -> bool {
         let is_open = !self.in_flight.is_empty() || self.retry_at.is_some_and(|at| at < time);
-        self.part.is_none() && is_open
+        self.part.is_none() && is_open && !self.is_left_out
     }
 
     /// Whether the shard may still get a part.
--- a/crates/routing/src/scatter/verdict.rs
+++ b/crates/routing/src/scatter/verdict.rs
@@ -18,7 +18,7 @@
         let missing = self.shards.iter().enumerate();
         let missing = missing.filter(|(_, shard)| shard.part.is_none());
         missing.map(|(ix, shard)| {
-            let has_in_flight = !shard.in_flight.is_empty();
+            let has_in_flight = !shard.in_flight.is_empty() && !shard.is_left_out;
             let cause = shard.cause.filter(|_| !has_in_flight);
             (ix, cause.unwrap_or(Cause::Late))
         })
@@ -69,7 +69,8 @@
     /// part or a call in flight make an answer without it.
     pub(super) fn need(&self, ix: RequestShard) -> Need {
         let others = self.shards.iter().enumerate().filter(|(n, _)| *n != ix);
-        let others = others.filter(|(_, s)| s.part.is_some() || !s.in_flight.is_empty());
+        let others =
+            others.filter(|(_, s)| s.part.is_some() || !(s.in_flight.is_empty() || s.is_left_out));
         let others = others.count();
         match (0..=self.shards.len()).find(|n| self.meets_min_share(others + n)) {
             Some(0) => Need::Optional,
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -47,6 +47,11 @@
 /// done by then.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(30);
 
+/// Failed calls and overdue periods in a row after which a target is silent, and
+/// the shortest time without a reply: longer than two pauses of a searcher.
+const SILENT_AFTER: u32 = 2;
+const MIN_SILENCE: Duration = Duration::from_millis(500);
+
 /// How long a reported number of running and queued calls is considered
 /// current.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(100);
@@ -360,6 +365,20 @@
                 && now.0 < self.last_sent.load(Ordering::Relaxed) + OVERDUE_BACKOFF_MICROS)
     }
 
+    /// Whether the target is silent: several calls in a row had no reply.
+    #[must_use]
+    pub fn is_silent(&self, now: Time) -> bool {
+        let periods = self.overdue_periods.load(Ordering::Relaxed);
+        let unanswered = periods.saturating_add(self.failures.load(Ordering::Relaxed));
+        unanswered >= SILENT_AFTER && now.since(self.last_reply()) >= MIN_SILENCE
+    }
+
+    /// When a call was last sent to it; zero if none was.
+    #[must_use]
+    pub fn last_sent(&self) -> Time {
+        Time(self.last_sent.load(Ordering::Relaxed))
+    }
+
     /// Number of calls of this node in flight to the target.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
--- a/crates/routing/tests/common/test_node.rs
+++ b/crates/routing/tests/common/test_node.rs
@@ -11,6 +11,7 @@
 use heatherrun_routing::extra_calls::Need;
 use heatherrun_routing::plan::Plan;
 use heatherrun_routing::scatter::{CallToSend, Context, TargetChoice};
+use heatherrun_routing::silence::Silence;
 use heatherrun_routing::target::{Distance, Target};
 
 /// Stands in for the node: targets of each shard, the remaining extra calls,
@@ -23,6 +24,8 @@
     pub full: Cell<bool>,
     /// Needs of the extra calls that were asked for.
     pub needs: RefCell<Vec<Need>>,
+    /// Shards whose targets are all silent.
+    pub silences: RefCell<HashMap<usize, Silence>>,
 }
 
 impl TestNode {
@@ -42,6 +45,7 @@
             extra: Cell::new(u32::MAX),
             full: Cell::new(false),
             needs: RefCell::default(),
+            silences: RefCell::default(),
         }
     }
 
@@ -66,6 +70,10 @@
                 self.extra.set(left.saturating_sub(1));
                 left > 0
             },
+            silence: &|shard| {
+                let silences = self.silences.borrow();
+                silences.get(&shard).copied().unwrap_or(Silence::None)
+            },
             hedge_delay: &|_| ms(20),
             record_overdue: &|_| true,
         };
--- a/crates/routing/tests/waiting.rs
+++ b/crates/routing/tests/waiting.rs
@@ -215,3 +215,22 @@
         assert_eq!(node.needs.borrow().last(), Some(&expected), "{min_share}");
     }
 }
+
+#[test]
+fn call_ended_quiet_shard_left_out_at_start_is_recalled_when_needed() {
+    // One shard is quiet for longer than a request may wait before its first
+    // call. When another shard is lost, the answer needs it after all.
+    let mut node = TestNode::new(36, 1);
+    node.quiet.insert(35, at(300));
+    let mut scatter = Scatter::new(plan(0.95), 36);
+    assert_eq!(node.with(|cx| scatter.start(at(0), cx)).len(), 35);
+    node.with(|cx| scatter.call_ended(at(5), 0, CallEnd::Lost, cx));
+    for call in 1..35 {
+        node.with(|cx| scatter.call_ended(at(6), call, CallEnd::Part, cx));
+    }
+    let (now, _, _) = drive(&node, &mut scatter, at(6), at(299));
+    assert_eq!(scatter.verdict(now), None);
+    node.quiet.clear();
+    let (_, calls, _) = drive(&node, &mut scatter, now, at(310));
+    assert_eq!(calls.len(), 1);
+}
