--- a/crates/gateway/src/serve/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -1,5 +1,6 @@
 //! Builds the reply to a request that this node has decided on.
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -136,6 +137,9 @@
                 took_us = micros(elapsed); "request.failed"
             );
         }
+        if !not_run && scatter.has_half_left(self.start, now) {
+            self.log_ended_early(scatter);
+        }
         if not_run {
             let held_for = scatter.held().map(|(until, hold)| match hold {
                 Hold::Quiet => until.time_left(now),
@@ -156,6 +160,27 @@
         error_reply.map_or_else(|| reply::outcome_unknown(cause), reply::forward)
     }
 
+    /// Logs what was tried for a request that may have run and ends without an
+    /// answer although time is left.
+    fn log_ended_early(&self, scatter: &Scatter) {
+        let now = self.state.clock.now();
+        if !self.state.log_throttle.allows(now, LineKind::EndedEarly) {
+            return;
+        }
+        let mut tried = String::new();
+        for shard in scatter.tried().take(MAX_LOGGED_SHARDS) {
+            let separator = if tried.is_empty() { "" } else { "," };
+            let service = &self.shards[shard.shard];
+            let _ = write!(tried, "{separator}{service}:{shard}");
+        }
+        let (id, route) = (self.outgoing.id.as_str(), &*self.route.name);
+        log::info!(
+            id, route, attempts = self.plan.attempts, tried = tried.as_str(),
+            left_us = micros(self.plan.end.time_left(now));
+            "request.ended-early"
+        );
+    }
+
     /// Takes the error reply of a target that ran the request: it tells the
     /// caller more than a reply of this node.
     fn take_error_reply(&self, replies: &mut [Option<Response<Bytes>>]) -> Option<Response<Bytes>> {
--- a/crates/report/src/story.rs
+++ b/crates/report/src/story.rs
@@ -31,7 +31,7 @@
 ];
 
 /// Causes in log lines, and the meaning of each.
-const REASONS: [(&str, &str); 8] = [
+const REASONS: [(&str, &str); 10] = [
     ("no-target", "no searcher is known that may be sent it"),
     (
         "no-room",
@@ -41,6 +41,14 @@
         "quiet",
         "all searchers had asked for quiet (Retry-After on a refusal)",
     ),
+    (
+        "limited",
+        "all searchers took a limited rate or paused after refusals",
+    ),
+    (
+        "silent",
+        "no searcher had replied for some time, and the rest sufficed",
+    ),
     ("not-sent", "no searcher could be reached"),
     ("refused", "searchers said that they did not run it"),
     ("late", "no reply came in time"),
--- a/crates/routing/src/scatter.rs
+++ b/crates/routing/src/scatter.rs
@@ -15,7 +15,8 @@
 use heatherrun_kernel::Time;
 
 pub use self::event::{
-    CallEnd, CallIx, CallToSend, Cause, Context, Reason, RequestShard, TargetChoice, Verdict,
+    CallEnd, CallIx, CallToSend, Cause, Context, Reason, RequestShard, TargetChoice, TriedShard,
+    Verdict,
 };
 use self::shard::ShardState;
 use crate::plan::Plan;
--- a/crates/routing/src/scatter/event.rs
+++ b/crates/routing/src/scatter/event.rs
@@ -1,6 +1,6 @@
 //! Events of a request, the calls that it asks for, and its outcome.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::Name;
@@ -122,6 +122,34 @@
     }
 }
 
+/// What was tried for a shard without a part.
+#[derive(Clone, Copy, Debug)]
+pub struct TriedShard<'a> {
+    /// Index of the shard.
+    pub shard: RequestShard,
+    /// Calls that ran or may have run.
+    pub executed: u16,
+    /// Calls that were refused or not sent.
+    pub unexecuted: u16,
+    /// Calls that the budget of extra calls refused.
+    pub unpaid: u32,
+    /// Targets that were called since those that refused were last allowed
+    /// again.
+    pub targets: &'a [Name],
+}
+
+impl fmt::Display for TriedShard<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (ran, not_run, unpaid) = (self.executed, self.unexecuted, self.unpaid);
+        write!(f, "ran={ran}/not-run={not_run}/no-budget={unpaid}/targets=")?;
+        for (n, target) in self.targets.iter().enumerate() {
+            let separator = if n == 0 { "" } else { "+" };
+            write!(f, "{separator}{target}")?;
+        }
+        Ok(())
+    }
+}
+
 /// A call that the driver must send.
 #[derive(Clone, Debug)]
 pub struct CallToSend {
--- a/crates/routing/src/scatter/shard.rs
+++ b/crates/routing/src/scatter/shard.rs
@@ -42,6 +42,8 @@
     pub retry_at: Option<Time>,
     /// Attempts since its latest call that found no target or no budget.
     pub waits: u32,
+    /// Calls that the budget refused.
+    pub unpaid: u32,
     /// Call whose reply is the part of the answer for this shard.
     pub part: Option<CallIx>,
     /// Greatest cause of failure so far.
--- a/crates/routing/src/scatter/verdict.rs
+++ b/crates/routing/src/scatter/verdict.rs
@@ -3,7 +3,7 @@
 use heatherrun_kernel::Time;
 
 use super::Scatter;
-use super::event::{Cause, RequestShard, Verdict};
+use super::event::{Cause, RequestShard, TriedShard, Verdict};
 use crate::choice::Hold;
 use crate::extra_calls::Need;
 
@@ -24,6 +24,25 @@
         })
     }
 
+    /// What was tried for the shards without a part.
+    pub fn tried(&self) -> impl Iterator<Item = TriedShard<'_>> {
+        let shards = self.shards.iter().enumerate();
+        let missing = shards.filter(|(_, shard)| shard.part.is_none());
+        missing.map(|(ix, shard)| TriedShard {
+            shard: ix,
+            executed: shard.executed,
+            unexecuted: shard.unexecuted,
+            unpaid: shard.unpaid,
+            targets: &shard.tried,
+        })
+    }
+
+    /// Whether over half of the request's time is left.
+    #[must_use]
+    pub fn has_half_left(&self, started: Time, now: Time) -> bool {
+        self.plan.end.time_left(now) > self.plan.end.time_left(started) / 2
+    }
+
     /// Final outcome of the request; `None` while it is undecided.
     ///
     /// An answer with enough shards is given once no other shard can answer before the
--- a/crates/routing/src/scatter/waiting.rs
+++ b/crates/routing/src/scatter/waiting.rs
@@ -79,6 +79,7 @@
         let at = self.shared_wake(now, BUDGET_RETRY_DELAY * 2_u32.pow(doublings));
         let shard = &mut self.shards[ix];
         shard.waits += 1;
+        shard.unpaid += 1;
         shard.retry_at = Some(at.min(self.plan.end));
     }
 
--- a/crates/routing/tests/waiting.rs
+++ b/crates/routing/tests/waiting.rs
@@ -234,3 +234,24 @@
     let (_, calls, _) = drive(&node, &mut scatter, now, at(310));
     assert_eq!(calls.len(), 1);
 }
+
+#[test]
+fn tried_names_what_was_tried_before_an_early_end() {
+    // A request that ends with most of its time left must say why no more could
+    // be done.
+    let node = TestNode::new(1, 2);
+    let mut scatter = Scatter::new(search_plan(1.0), 1);
+    node.with(|cx| scatter.start(at(0), cx));
+    node.with(|cx| scatter.call_ended(at(1), 0, CallEnd::NotRun, cx));
+    node.extra.set(0);
+    node.with(|cx| scatter.call_ended(at(2), 1, CallEnd::NotRun, cx));
+    let (now, _, _) = drive(&node, &mut scatter, at(2), at(30));
+    node.extra.set(2);
+    let (now, _, _) = drive(&node, &mut scatter, now, at(100));
+    node.with(|cx| scatter.call_ended(now, 2, CallEnd::Lost, cx));
+    node.with(|cx| scatter.call_ended(now, 3, CallEnd::Lost, cx));
+    assert!(scatter.verdict(now).is_some());
+    assert!(scatter.has_half_left(at(0), now) && !scatter.has_half_left(at(0), at(500)));
+    let tried: Vec<_> = scatter.tried().map(|t| t.to_string()).collect();
+    assert_eq!(tried, ["ran=2/not-run=2/no-budget=1/targets=0-0+0-1"]);
+}
