--- a/crates/gateway/src/log_throttle.rs
+++ b/crates/gateway/src/log_throttle.rs
@@ -23,18 +23,22 @@
     TargetLimit,
     /// A request was rejected for its credential.
     Unauthorized,
+    /// A request that may have run got no answer with over half of its time
+    /// left.
+    EndedEarly,
 }
 
 /// Name and maximum number of lines per second of each kind, in the order of
 /// [`LineKind`]. A node with a quarter of a core serves about 60 requests/s:
 /// each failed one gets its line, even at several times that load.
-const LINES_PER_SEC: [(&str, u64); 6] = [
+const LINES_PER_SEC: [(&str, u64); 7] = [
     ("request.failed", 400),
     ("request.partial", 100),
     ("call.failed", 200),
     ("request.turned-away", 100),
     ("target.limit", 100),
     ("request.unauthorized", 50),
+    ("request.ended-early", 400),
 ];
 
 /// Counts of one kind of line.
--- a/crates/routing/src/scatter/event.rs
+++ b/crates/routing/src/scatter/event.rs
@@ -1,12 +1,13 @@
 //! Events of a request, the calls that it asks for, and its outcome.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::Name;
 
 use crate::choice::Hold;
 use crate::extra_calls::Need;
+use crate::silence::Silence;
 use crate::target::Target;
 
 /// Index of a call within its request, in the order of sending.
@@ -56,6 +57,8 @@
     Quiet,
     /// All targets take a limited rate, and this node's share of it is used up.
     Limited,
+    /// The targets did not reply to earlier requests, and the shard was left out.
+    Silent,
     /// The request could not be sent to a target.
     NotSent,
     /// A target refused the request without running it.
@@ -86,6 +89,7 @@
             Self::AtCapacity => "no-room",
             Self::Quiet => "quiet",
             Self::Limited => "limited",
+            Self::Silent => "silent",
             Self::NotSent => "not-sent",
             Self::Refused => "refused",
             Self::Late => "late",
@@ -118,6 +122,34 @@
     }
 }
 
+/// What was tried for a shard without a part.
+#[derive(Clone, Copy, Debug)]
+pub struct TriedShard<'a> {
+    /// Index of the shard.
+    pub shard: RequestShard,
+    /// Calls that ran or may have run.
+    pub executed: u16,
+    /// Calls that were refused or not sent.
+    pub unexecuted: u16,
+    /// Calls that the budget of extra calls refused.
+    pub unpaid: u32,
+    /// Targets that were called since those that refused were last allowed
+    /// again.
+    pub targets: &'a [Name],
+}
+
+impl fmt::Display for TriedShard<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (ran, not_run, unpaid) = (self.executed, self.unexecuted, self.unpaid);
+        write!(f, "ran={ran}/not-run={not_run}/no-budget={unpaid}/targets=")?;
+        for (n, target) in self.targets.iter().enumerate() {
+            let separator = if n == 0 { "" } else { "+" };
+            write!(f, "{separator}{target}")?;
+        }
+        Ok(())
+    }
+}
+
 /// A call that the driver must send.
 #[derive(Clone, Debug)]
 pub struct CallToSend {
@@ -190,6 +222,8 @@
     /// Consumes one extra call to the shard from the budget; false when the
     /// budget is exhausted for calls with this need.
     pub take_extra: &'a dyn Fn(RequestShard, Need) -> bool,
+    /// Whether all targets of the shard are silent.
+    pub silence: &'a dyn Fn(RequestShard) -> Silence,
     /// Delay after which a call to the target is overdue and is hedged.
     pub hedge_delay: &'a dyn Fn(&Target) -> Duration,
     /// Records that a call to the target is overdue; false if another target is
--- a/crates/routing/src/scatter/verdict.rs
+++ b/crates/routing/src/scatter/verdict.rs
@@ -3,7 +3,7 @@
 use heatherrun_kernel::Time;
 
 use super::Scatter;
-use super::event::{Cause, RequestShard, Verdict};
+use super::event::{Cause, RequestShard, TriedShard, Verdict};
 use crate::choice::Hold;
 use crate::extra_calls::Need;
 
@@ -18,12 +18,31 @@
         let missing = self.shards.iter().enumerate();
         let missing = missing.filter(|(_, shard)| shard.part.is_none());
         missing.map(|(ix, shard)| {
-            let has_in_flight = !shard.in_flight.is_empty();
+            let has_in_flight = !shard.in_flight.is_empty() && !shard.is_left_out;
             let cause = shard.cause.filter(|_| !has_in_flight);
             (ix, cause.unwrap_or(Cause::Late))
         })
     }
 
+    /// What was tried for the shards without a part.
+    pub fn tried(&self) -> impl Iterator<Item = TriedShard<'_>> {
+        let shards = self.shards.iter().enumerate();
+        let missing = shards.filter(|(_, shard)| shard.part.is_none());
+        missing.map(|(ix, shard)| TriedShard {
+            shard: ix,
+            executed: shard.executed,
+            unexecuted: shard.unexecuted,
+            unpaid: shard.unpaid,
+            targets: &shard.tried,
+        })
+    }
+
+    /// Whether over half of the request's time is left.
+    #[must_use]
+    pub fn has_half_left(&self, started: Time, now: Time) -> bool {
+        self.plan.end.time_left(now) > self.plan.end.time_left(started) / 2
+    }
+
     /// Final outcome of the request; `None` while it is undecided.
     ///
     /// An answer with enough shards is given once no other shard can answer before the
@@ -69,7 +88,8 @@
     /// part or a call in flight make an answer without it.
     pub(super) fn need(&self, ix: RequestShard) -> Need {
         let others = self.shards.iter().enumerate().filter(|(n, _)| *n != ix);
-        let others = others.filter(|(_, s)| s.part.is_some() || !s.in_flight.is_empty());
+        let others =
+            others.filter(|(_, s)| s.part.is_some() || !(s.in_flight.is_empty() || s.is_left_out));
         let others = others.count();
         match (0..=self.shards.len()).find(|n| self.meets_min_share(others + n)) {
             Some(0) => Need::Optional,
