--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -227,22 +227,23 @@
         }
     }
     record_limit(state, target, head.limit, now - elapsed);
+    let call_count = head.load.map(|load| load.call_count());
     if head.not_run {
-        target.record_refusal(now, head.call_count);
+        target.record_refusal(now, call_count);
         return CallEnd::NotRun;
     }
     let status = reply.status();
     if status.is_server_error() {
-        target.record_failed_reply(now, elapsed, head.call_count);
+        target.record_failed_reply(now, elapsed, call_count);
         return CallEnd::Failed;
     }
     let encoded = reply.headers().contains_key(http::header::CONTENT_ENCODING);
     let unsigned = status.is_success() && (head.signature.is_none() || encoded);
     if unsigned || (outgoing.is_part && !status.is_success()) {
-        target.record_failed_reply(now, elapsed, head.call_count);
+        target.record_failed_reply(now, elapsed, call_count);
         return CallEnd::Failed;
     }
-    target.record_reply(now, elapsed, head.call_count);
+    target.record_reply(now, elapsed, call_count);
     outgoing.route_latency.record(target.distance, elapsed);
     CallEnd::Part
 }
--- a/crates/kernel/src/site.rs
+++ b/crates/kernel/src/site.rs
@@ -30,6 +30,31 @@
     Invalid,
 }
 
+/// Load of a target as one of its replies reports it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Number of calls that are running.
+    pub running: u32,
+    /// Number of calls that wait for a slot.
+    pub waiting: u32,
+    /// Number of calls that run at the same time.
+    pub slots: u32,
+    /// How long work takes on the target's machine now, in percent of the usual;
+    /// 1 to [`MAX_PACE_PERCENT`]. `None` if the target does not measure it.
+    pub pace: Option<u16>,
+}
+
+/// Largest pace that is taken for a measurement, in percent of the usual.
+pub const MAX_PACE_PERCENT: u16 = 10_000;
+
+impl TargetLoad {
+    /// Number of running and waiting calls.
+    #[must_use]
+    pub const fn call_count(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// Values from the status and headers of a target's reply.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReplyHead<'a> {
@@ -41,8 +66,8 @@
     pub not_run: bool,
     /// Whether an instance other than the expected one answered at the address.
     pub misdirected: bool,
-    /// Number of calls running and queued at the target.
-    pub call_count: Option<u32>,
+    /// Load of the target, if the reply reports it.
+    pub load: Option<TargetLoad>,
     /// Whether the target reports that it is leaving.
     pub is_leaving: bool,
     /// Time for which a target that refused the request wants none from this
