Pace of targets in the choice and hedges, slow start by answers

Cause: a target that starts or recovers was sent the usual number of concurrent calls by all nodes at once, and the pace that replies report was not used. Change: pace.rs keeps the pace with a half-life of 300 ms and scales the expected latency for the choice and the hedge delay; near-equal targets with a pace are chosen at random by weight. ramp.rs limits the concurrent calls to a target that is new, recovered or back in service to the node's share of its slots and grows with good answers; it is part of the limit that the choice checks. Targets without load in their replies are not affected.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -17,6 +17,7 @@
 use crate::log_throttle::LineKind;
 use crate::metrics::CallSample;
 use crate::state::State;
+use crate::target_ramp;
 
 /// Maximum size of a target's reply.
 const MAX_REPLY_BYTES: usize = 8 << 20;
@@ -154,6 +155,8 @@
                 &reply,
                 now.since(start),
             );
+            let usual = u32::try_from(max_connections).unwrap_or(u32::MAX);
+            target_ramp::record_answer(&state, &call_to_send.target, start, end, usual);
             (end, Some(reply))
         }
         Err(error) => {
@@ -227,6 +230,9 @@
         }
     }
     record_limit(state, target, head.limit, now - elapsed);
+    if let Some(load) = &head.load {
+        target.pace.record(now, load);
+    }
     let call_count = head.load.map(|load| load.call_count());
     if head.not_run {
         target.record_refusal(now, call_count);
@@ -243,6 +249,9 @@
         target.record_failed_reply(now, elapsed, call_count);
         return CallEnd::Failed;
     }
+    if head.load.is_none() {
+        target.pace.record_none();
+    }
     target.record_reply(now, elapsed, call_count);
     outgoing.route_latency.record(target.distance, elapsed);
     CallEnd::Part
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod state;
 pub mod store_sync;
 pub mod supervise;
+pub mod target_ramp;
--- a/crates/gateway/src/log_throttle.rs
+++ b/crates/gateway/src/log_throttle.rs
@@ -21,17 +21,20 @@
     RejectedRequest,
     /// A target named a limit, another one or none.
     TargetLimit,
+    /// The slow start of a target began or ended.
+    TargetRamp,
 }
 
 /// Name and maximum number of lines per second of each kind, in the order of
 /// [`LineKind`]. A node with a quarter of a core serves about 60 requests/s:
 /// each failed one gets its line, even at several times that load.
-const LINES_PER_SEC: [(&str, u64); 5] = [
+const LINES_PER_SEC: [(&str, u64); 6] = [
     ("request.failed", 400),
     ("request.partial", 100),
     ("call.failed", 200),
     ("request.turned-away", 100),
     ("target.limit", 100),
+    ("target.ramp", 100),
 ];
 
 /// Counts of one kind of line.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,7 @@
     calls: IntCounterVec,
     reply_seconds: HistogramVec,
     limited_calls: IntCounterVec,
+    ramps: IntCounterVec,
     links_down: IntGauge,
     forwards: IntCounterVec,
     /// Configured names that have series of their own.
@@ -81,6 +82,11 @@
                 "calls to targets that name a limit, by service and reason",
                 &["service", "reason"],
             ),
+            ramps: counter(
+                "heatherrun_target_ramps_total",
+                "slow starts of targets that began or ended, by service and step",
+                &["service", "step"],
+            ),
             links_down: IntGauge::new(
                 "heatherrun_links_down",
                 "1 while this node reaches no target",
@@ -93,12 +99,13 @@
             ),
             label_names: Mutex::default(),
         };
-        let collectors: [Box<dyn Collector>; 7] = [
+        let collectors: [Box<dyn Collector>; 8] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.answer_seconds.clone()),
             Box::new(metrics.calls.clone()),
             Box::new(metrics.reply_seconds.clone()),
             Box::new(metrics.limited_calls.clone()),
+            Box::new(metrics.ramps.clone()),
             Box::new(metrics.links_down.clone()),
             Box::new(metrics.forwards.clone()),
         ];
@@ -156,6 +163,12 @@
         self.limited_calls.with_label_values(&labels).inc();
     }
 
+    /// Records that the slow start of a target began or ended.
+    pub fn record_ramp(&self, service: &Name, step: &str) {
+        let labels = [self.label(service), step];
+        self.ramps.with_label_values(&labels).inc();
+    }
+
     /// Records whether this node reaches no target.
     pub fn set_links_down(&self, is_down: bool) {
         self.links_down.set(i64::from(is_down));
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -369,6 +369,8 @@
                 pace.map_or(now, |pace| target.pacer.next_call(now, pace))
             },
             max_calls: &|target| u32::from(self.max_calls(target)),
+            node_share: state.shares.load().total_share,
+            draw: &|| state.draws.draw(),
         };
         let context = Context {
             choose: &|shard, tried| self.choose_target(now, &services, shard, tried, &constraints),
@@ -384,7 +386,7 @@
             hedge_delay: &|target| {
                 self.outgoing
                     .route_latency
-                    .hedge_delay(target, self.route.objective)
+                    .hedge_delay(now, target, self.route.objective)
             },
             record_overdue: &|target| {
                 state.record_silence(now, target);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
 use heatherrun_routing::fleet::{Fleet, Services};
 use heatherrun_routing::links::Links;
 use heatherrun_routing::members::{Members, Place, Report, hash_nodes, place};
+use heatherrun_routing::pace::Draws;
 use heatherrun_routing::route_stats::RouteStats;
 use heatherrun_routing::shares::Shares;
 use heatherrun_routing::table::RouteTable;
@@ -110,6 +111,8 @@
     pub route_stats: RouteStats,
     /// Client for calls to targets, with its connections.
     pub target_client: Client,
+    /// Numbers for the choice among near-equal targets.
+    pub draws: Draws,
     /// Crash-causing requests.
     pub crash_tracker: CrashTracker,
     /// Metrics of this node.
@@ -143,7 +146,8 @@
         clock: Clock,
         site: &'static Site,
     ) -> (Arc<Self>, Receiver<Suspicion>) {
-        let (crash_tracker, suspicions) = CrashTracker::new(xxh3_64(own_entry.name.as_bytes()));
+        let seed = xxh3_64(own_entry.name.as_bytes());
+        let (crash_tracker, suspicions) = CrashTracker::new(seed);
         let state = Arc::new(Self {
             own_entry,
             deployment: ArcSwap::from_pointee(deployment),
@@ -159,6 +163,7 @@
             suspicions: Mutex::default(),
             route_stats: RouteStats::default(),
             target_client: Client::default(),
+            draws: Draws::new(seed),
             crash_tracker,
             metrics: Metrics::default(),
             log_throttle: LogThrottle::default(),
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -73,6 +73,7 @@
             return Change::Stale;
         }
         self.lapsed.remove(&entry.id);
+        let mut reports_load = ended.is_some_and(|e| e.told.reports_load);
         if let Some(known) = self.targets.get(&entry.id) {
             let old = &known.entry;
             if entry.born < old.born {
@@ -94,6 +95,7 @@
                 };
             }
             known.set_gone();
+            reports_load |= known.pace.reports_load();
             self.ended_targets.push(Arc::clone(known));
         }
         let id = Arc::clone(&entry.id);
@@ -101,6 +103,9 @@
         if let Some(ended) = ended.filter(|e| e.born == target.entry.born) {
             target.inherit(&ended.told);
         }
+        if reports_load {
+            target.pace.expect_load();
+        }
         self.targets.insert(id, Arc::new(target));
         Change::New
     }
--- a/crates/routing/src/route_stats.rs
+++ b/crates/routing/src/route_stats.rs
@@ -79,15 +79,22 @@
     }
 
     /// Delay after which a call to `target` is hedged, for a route with the
-    /// given latency objective.
+    /// given latency objective. A target that reports that it is slow now is
+    /// given at least its expected latency.
     #[must_use]
-    pub fn hedge_delay(&self, target: &Target, objective: Duration) -> Duration {
+    pub fn hedge_delay(&self, now: Time, target: &Target, objective: Duration) -> Duration {
         let estimated_micros = self.quantile(target.distance).estimate_us();
         if estimated_micros == 0 {
             return objective / INITIAL_DELAY_DIVISOR;
         }
         let max_delay = (objective / MAX_DELAY_DIVISOR).max(MIN_HEDGE_DELAY);
-        Duration::from_micros(estimated_micros).clamp(MIN_HEDGE_DELAY, max_delay)
+        let expected_micros = if target.pace.is_slow(now) {
+            target.paced_micros(now)
+        } else {
+            0
+        };
+        let delay_micros = estimated_micros.max(expected_micros);
+        Duration::from_micros(delay_micros).clamp(MIN_HEDGE_DELAY, max_delay)
     }
 }
 
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -11,7 +11,9 @@
 use heatherrun_kernel::site::StatedLimit;
 use heatherrun_kernel::time::micros;
 
+use crate::pace::TargetPace;
 use crate::pacer::Pacer;
+use crate::ramp::Ramp;
 
 /// Inverse weight of one reply in the moving average of the latency.
 const LATENCY_WEIGHT_DIVISOR: u64 = 6;
@@ -28,7 +30,7 @@
 
 /// Half-life of the observed latency and failure rate. A target that is avoided
 /// for its latency is thus tried again after some time.
-const OBSERVATION_HALF_LIFE: Duration = Duration::from_millis(1_500);
+pub(crate) const OBSERVATION_HALF_LIFE: Duration = Duration::from_millis(1_500);
 
 /// How long a target is avoided after a call to it was overdue; doubled for
 /// each consecutive overdue period. Searchers pause for up to 200
@@ -104,6 +106,8 @@
     /// Limit that it named, in thousandths of a call per second, and when the
     /// call was sent that it last named it to.
     limit: Option<(u64, Time)>,
+    /// Whether its replies report its load; holds for later incarnations too.
+    pub reports_load: bool,
 }
 
 /// Effect of a reply on the limit of its target.
@@ -141,6 +145,10 @@
     pub distance: Distance,
     /// Slots for the calls of this node while the target takes a limited rate.
     pub pacer: Pacer,
+    /// Load and pace that its replies report.
+    pub pace: TargetPace,
+    /// Slow start by its answers.
+    pub ramp: Ramp,
     /// Sequence number of the newest report.
     report_count: AtomicU64,
     draining: AtomicBool,
@@ -189,6 +197,8 @@
             region: location.region,
             distance: location.distance,
             pacer: Pacer::default(),
+            pace: TargetPace::default(),
+            ramp: Ramp::default(),
             report_count: AtomicU64::new(entry.report_seq),
             draining: AtomicBool::new(entry.draining),
             leaving: AtomicBool::new(false),
@@ -271,6 +281,7 @@
         Told {
             is_leaving: self.leaving.load(Ordering::Relaxed),
             quiet_until: Time(self.quiet_until.load(Ordering::Relaxed)),
+            reports_load: self.pace.reports_load(),
             limit: self.named_limit().map(|limit| {
                 let sent_at = self.limit_sent.load(Ordering::Relaxed);
                 (limit, Time(sent_at))
@@ -420,6 +431,7 @@
         if self.last_reply.load(Ordering::Relaxed) > sent_at.0 {
             return;
         }
+        self.ramp.record_overdue(sent_at);
         if self.is_avoided(now) {
             return;
         }
@@ -476,6 +488,7 @@
     /// Records a failed call; a target is avoided for longer with each
     /// consecutive failure.
     pub fn record_failure(&self, now: Time) {
+        self.ramp.record_failure(now);
         let failures = self.failures.fetch_add(1, Ordering::Relaxed).min(8);
         let backoff = (FAILURE_BACKOFF * 2_u32.pow(failures)).min(MAX_BACKOFF);
         self.avoid_until.store((now + backoff).0, Ordering::Relaxed);
@@ -500,6 +513,13 @@
         self.latency_at.store(now.0, Ordering::Relaxed);
     }
 
+    /// Expected latency in microseconds of a call at the pace that is reported
+    /// now; the same as [`Target::expected_micros`] without a reported pace.
+    #[must_use]
+    pub fn paced_micros(&self, now: Time) -> u64 {
+        self.pace.scale(now, self.expected_micros(now))
+    }
+
     /// Expected latency of a call in microseconds. A mean above the initial
     /// estimate decays towards it with the half-life.
     #[must_use]
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -17,6 +17,8 @@
         is_excluded: &|_| false,
         next_call: &|_| at(0),
         max_calls: &|_| 4,
+        node_share: 1.0,
+        draw: &|| 0,
     }
 }
 
