--- a/crates/routing/tests/ramp.rs
+++ b/crates/routing/tests/ramp.rs
@@ -277,6 +277,27 @@
     }
 }
 
+#[test]
+fn limit_target_that_is_fast_again_returns_to_full_use() {
+    // A machine that was slow for some time is a recovered target.
+    let mut world = World::new(25, 8, 320, USUAL_MS);
+    world.run(1, 2_000, NEVER);
+    world.latency = 10 * USUAL_MS;
+    world.run(2_000, 6_000, NEVER);
+    assert!(world.ramping() > 20, "{}", world.ramping());
+    world.latency = USUAL_MS;
+    let rejected = world.rejected;
+    world.run(6_000, 8_000, NEVER);
+    let before = world.answered;
+    world.run(8_000, 9_000, NEVER);
+    assert_eq!((world.rejected - rejected, world.ramping()), (0, 0));
+    assert!(
+        world.answered - before >= 310,
+        "{}",
+        world.answered - before
+    );
+}
+
 #[test]
 fn limit_short_regular_pauses_are_no_recovery() {
     // 250 ms every 3 s are usual; a slow start each time would leave it idle.
