--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -18,6 +18,7 @@
 use crate::log_throttle::LineKind;
 use crate::metrics::CallSample;
 use crate::state::State;
+use crate::target_ramp;
 
 /// Maximum size of a target's reply.
 const MAX_REPLY_BYTES: usize = 8 << 20;
@@ -165,6 +166,8 @@
                 &reply,
                 now.since(start),
             );
+            let usual = u32::try_from(max_connections).unwrap_or(u32::MAX);
+            target_ramp::record_answer(&state, &call_to_send.target, start, end, usual);
             (end, Some(reply))
         }
         Err(error) => {
@@ -239,22 +242,29 @@
         }
     }
     record_limit(state, target, head.limit, now - elapsed);
+    if let Some(load) = &head.load {
+        target.pace.record(now, load);
+    }
+    let call_count = head.load.map(|load| load.call_count());
     if head.not_run {
-        target.record_refusal(now, head.call_count);
+        target.record_refusal(now, call_count);
         return CallEnd::NotRun;
     }
     let status = reply.status();
     if status.is_server_error() {
-        target.record_failed_reply(now, elapsed, head.call_count);
+        target.record_failed_reply(now, elapsed, call_count);
         return CallEnd::Failed;
     }
     let encoded = reply.headers().contains_key(http::header::CONTENT_ENCODING);
     let unsigned = status.is_success() && (head.signature.is_none() || encoded);
     if unsigned || (outgoing.is_part && !status.is_success()) {
-        target.record_failed_reply(now, elapsed, head.call_count);
+        target.record_failed_reply(now, elapsed, call_count);
         return CallEnd::Failed;
     }
-    target.record_reply(now, elapsed, head.call_count);
+    if head.load.is_none() {
+        target.pace.record_none();
+    }
+    target.record_reply(now, elapsed, call_count);
     outgoing.route_latency.record(target.distance, elapsed);
     CallEnd::Part
 }
--- a/crates/gateway/src/log_throttle.rs
+++ b/crates/gateway/src/log_throttle.rs
@@ -26,12 +26,14 @@
     /// A request that may have run got no answer with over half of its time
     /// left.
     EndedEarly,
+    /// The slow start of a target began or ended.
+    TargetRamp,
 }
 
 /// Name and maximum number of lines per second of each kind, in the order of
 /// [`LineKind`]. A node with a quarter of a core serves about 60 requests/s:
 /// each failed one gets its line, even at several times that load.
-const LINES_PER_SEC: [(&str, u64); 7] = [
+const LINES_PER_SEC: [(&str, u64); 8] = [
     ("request.failed", 400),
     ("request.partial", 100),
     ("call.failed", 200),
@@ -39,6 +41,7 @@
     ("target.limit", 100),
     ("request.unauthorized", 50),
     ("request.ended-early", 400),
+    ("target.ramp", 100),
 ];
 
 /// Counts of one kind of line.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -396,6 +396,8 @@
                 next_call.max(target.refusals.resume_at())
             },
             max_calls: &|target| u32::from(self.max_calls(target)).min(target.refusals.max_calls()),
+            node_share: state.shares.load().total_share,
+            draw: &|| state.draws.draw(),
         };
         let context = Context {
             choose: &|shard, tried| self.choose_target(now, &services, shard, tried, &constraints),
@@ -416,7 +418,7 @@
             hedge_delay: &|target| {
                 self.outgoing
                     .route_latency
-                    .hedge_delay(target, self.route.objective)
+                    .hedge_delay(now, target, self.route.objective)
             },
             record_overdue: &|target| {
                 state.record_silence(now, target);
--- a/crates/routing/tests/silence.rs
+++ b/crates/routing/tests/silence.rs
@@ -94,6 +94,8 @@
         is_excluded: &|_| false,
         next_call: &|_| at(0),
         max_calls: &|_| 2,
+        node_share: 1.0,
+        draw: &|| 0,
     };
     for (count, seed) in [1, 2, 3, 5, 8]
         .into_iter()
