Tests of refusals: constraints with the share and the draw of the choice

Change: the test names the new fields, with the values of a single node. Result: tests of routing and gateway pass.

--- a/crates/routing/tests/refusals.rs
+++ b/crates/routing/tests/refusals.rs
@@ -116,6 +116,8 @@
         is_excluded: &|_| false,
         next_call: &|t| t.refusals.resume_at(),
         max_calls: &|t| t.refusals.max_calls(),
+        node_share: 1.0,
+        draw: &|| 0,
     };
     choose(now, targets, &[], &constraints)
 }
