A refused count of forwarded requests no longer lowers the count

Cause: then_some built the guard also when the limit was reached, and dropping it decremented the counter; below zero it wraps, which panics in debug builds and refuses all further forwards in release builds. Seen as 'attempt to add with overflow' in cut_off_node_serves_its_callers on a loaded machine. Change: the guard is built only for a counted request. Result: gateway/tests/forward.rs fails without the change and passes with it.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -102,9 +102,9 @@
 
 /// Counts one more request; `None` when there are `most`.
 fn count(counter: &AtomicUsize, most: usize) -> Option<CountGuard<'_>> {
-    let more = |count| (count < most).then_some(count + 1);
+    let more = |count: usize| (count < most).then(|| count + 1);
     let result = counter.fetch_update(Ordering::AcqRel, Ordering::Acquire, more);
-    result.is_ok().then_some(CountGuard(counter))
+    result.is_ok().then(|| CountGuard(counter))
 }
 
 /// Counts a request at a node while it is in progress, also if it is dropped.
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use heatherrun_gateway::calls::OutgoingRequest;
+use heatherrun_gateway::forward::Forwarder;
 use heatherrun_gateway::forward::message::{ForwardedRequest, Terms};
 use http::{HeaderMap, HeaderValue, Method};
 
@@ -42,3 +43,15 @@
     assert_eq!(received.head.headers, headers);
     assert_eq!(received.body, outgoing.body);
 }
+
+/// Guards against a refused request that lowered the count of those in progress:
+/// the limit grew with each one, and the count went below zero.
+#[test]
+fn retry_refused_requests_do_not_change_the_count() {
+    let forwarder = Forwarder::default();
+    for _ in 0..2 {
+        let counted: Vec<_> = (0..16).map_while(|_| forwarder.retry()).collect();
+        assert_eq!(counted.len(), 16);
+        assert!((0..40).all(|_| forwarder.retry().is_none()));
+    }
+}
