--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,12 +4,12 @@
 //! The messages are protobuf, so a node ignores fields that it does not know.
 //! An older node does not know the call and closes the connection on which it
 //! receives it. The connections here carry nothing else, and such a node is
-//! left alone for [`RETRY_DELAY`].
+//! left alone for up to [`MAX_RETRY_DELAY`].
 
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -20,8 +20,11 @@
 use crate::peer_clients::PeerClients;
 use crate::state::State;
 
-/// Time for which a node is not asked after it did not reply.
-const RETRY_DELAY: Duration = Duration::from_secs(10);
+/// Time for which a node is not asked after it did not reply, doubled with each
+/// further failure in a row. A single lost message must not end the contact with
+/// a granter, while an older node never replies.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(10);
 
 /// Maximum number of nodes remembered as unresponsive.
 const MAX_UNRESPONSIVE: usize = 1_024;
@@ -30,8 +33,8 @@
 #[derive(Default)]
 pub struct Exchange {
     clients: PeerClients,
-    /// Nodes that did not reply, and until when they are not asked.
-    unresponsive: Mutex<HashMap<SocketAddr, Time>>,
+    /// Nodes that did not reply, until when they are not asked, and that delay.
+    unresponsive: Mutex<HashMap<SocketAddr, (Time, Duration)>>,
 }
 
 impl Exchange {
@@ -52,28 +55,33 @@
             .exchange(address, request.encode_to_vec(), timeout)
             .await;
         let reply = reply.and_then(|bytes| PeerReply::decode(&*bytes).ok());
-        if reply.is_none() {
-            self.record_unresponsive(state.clock.now(), address);
-        }
+        self.record_reply(state.clock.now(), address, reply.is_some());
         reply
     }
 
-    fn is_unresponsive(&self, now: Time, address: SocketAddr) -> bool {
-        let unresponsive = self
-            .unresponsive
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, (Time, Duration)>> {
+        self.unresponsive
             .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        unresponsive.get(&address).is_some_and(|until| now < *until)
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn record_unresponsive(&self, now: Time, address: SocketAddr) {
-        let mut unresponsive = self
-            .unresponsive
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        unresponsive.retain(|_, until| now < *until);
+    fn is_unresponsive(&self, now: Time, address: SocketAddr) -> bool {
+        let unresponsive = self.lock();
+        let entry = unresponsive.get(&address);
+        entry.is_some_and(|(until, _)| now < *until)
+    }
+
+    fn record_reply(&self, now: Time, address: SocketAddr, has_replied: bool) {
+        let mut unresponsive = self.lock();
+        if has_replied {
+            unresponsive.remove(&address);
+            return;
+        }
+        unresponsive.retain(|_, (until, _)| now.since(*until) < MAX_RETRY_DELAY);
+        let old = unresponsive.get(&address);
+        let delay = old.map_or(MIN_RETRY_DELAY, |(_, d)| (*d * 2).min(MAX_RETRY_DELAY));
         if unresponsive.len() < MAX_UNRESPONSIVE {
-            unresponsive.insert(address, now + RETRY_DELAY);
+            unresponsive.insert(address, (now + delay, delay));
         }
     }
 }
@@ -81,10 +89,12 @@
 /// Replies to a message of another node. A message that cannot be decoded gets
 /// an empty reply.
 #[must_use]
-pub fn handle(_state: &Arc<State>, message: &[u8]) -> Vec<u8> {
+pub fn handle(state: &Arc<State>, message: &[u8]) -> Vec<u8> {
     let reply = match PeerRequest::decode(message) {
-        Ok(_request) => PeerReply {
-            quota: None,
+        Ok(request) => PeerReply {
+            quota: request
+                .quota
+                .map(|quota| state.quota.handle(state, &request.node, &quota)),
             rollout: None,
         },
         Err(e) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use crate::roster::RosterWriter;
 use crate::state::{Deployment, State};
 use crate::store_sync::StoreSync;
-use crate::{endpoints, join, link_probe, relay, serve, supervise};
+use crate::{endpoints, join, link_probe, quota, relay, serve, supervise};
 
 /// Maximum size of a caller's request body; the configuration sets a lower
 /// limit.
@@ -187,6 +187,7 @@
         supervise::spawn("relay", move || relay::serve(Arc::clone(&peers), of(&own)));
         let own = of(state);
         supervise::spawn("join", move || join::run(of(&own)));
+        quota::spawn(state);
         let (own, store) = (of(state), platform.clone());
         supervise::spawn("store-sync", move || {
             StoreSync::new(of(&own), store.clone()).run()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod log_throttle;
 pub mod metrics;
 pub mod peer_clients;
+pub mod quota;
 pub mod relay;
 pub mod reply;
 pub mod roster;
--- a/crates/gateway/src/log_throttle.rs
+++ b/crates/gateway/src/log_throttle.rs
@@ -23,18 +23,21 @@
     TargetLimit,
     /// A request was rejected for its credential.
     Unauthorized,
+    /// A request was rejected because its team is over its quota.
+    OverQuota,
 }
 
 /// Name and maximum number of lines per second of each kind, in the order of
 /// [`LineKind`]. A node with a quarter of a core serves about 60 requests/s:
 /// each failed one gets its line, even at several times that load.
-const LINES_PER_SEC: [(&str, u64); 6] = [
+const LINES_PER_SEC: [(&str, u64); 7] = [
     ("request.failed", 400),
     ("request.partial", 100),
     ("call.failed", 200),
     ("request.turned-away", 100),
     ("target.limit", 100),
     ("request.unauthorized", 50),
+    ("request.over-quota", 50),
 ];
 
 /// Counts of one kind of line.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,7 @@
     limited_calls: IntCounterVec,
     links_down: IntGauge,
     forwards: IntCounterVec,
+    quota: IntCounterVec,
     /// Configured names that have series of their own.
     label_names: Mutex<HashSet<Name>>,
 }
@@ -91,9 +92,14 @@
                 "requests forwarded to other nodes, by end",
                 &["end"],
             ),
+            quota: counter(
+                "heatherrun_quota_total",
+                "requests of teams with a limit, by team and what decided",
+                &["team", "by"],
+            ),
             label_names: Mutex::default(),
         };
-        let collectors: [Box<dyn Collector>; 7] = [
+        let collectors: [Box<dyn Collector>; 8] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.answer_seconds.clone()),
             Box::new(metrics.calls.clone()),
@@ -101,6 +107,7 @@
             Box::new(metrics.limited_calls.clone()),
             Box::new(metrics.links_down.clone()),
             Box::new(metrics.forwards.clone()),
+            Box::new(metrics.quota.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).expect(valid);
@@ -166,6 +173,12 @@
         self.forwards.with_label_values(&[end]).inc();
     }
 
+    /// Records a request of a team with a limit, and what decided on it.
+    pub fn record_quota(&self, team: &Name, by: &str) {
+        let labels = [self.label(team), by];
+        self.quota.with_label_values(&labels).inc();
+    }
+
     /// Label value for `name`: the name itself, or the shared one once
     /// [`MAX_LABEL_NAMES`] others have series.
     fn label<'a>(&self, name: &'a Name) -> &'a str {
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -75,7 +75,19 @@
 #[must_use]
 pub fn not_run(reason: &str, retry_after: Duration) -> Reply {
     let text = format!("not run: {reason}; retry after the time in Retry-After");
-    let mut refusal = plain(StatusCode::SERVICE_UNAVAILABLE, &text);
+    let refusal = plain(StatusCode::SERVICE_UNAVAILABLE, &text);
+    with_retry_after(refusal, retry_after)
+}
+
+/// Refuses a request of a team that is over its quota, which has credit again
+/// after `retry_after`.
+#[must_use]
+pub fn over_quota(retry_after: Duration) -> Reply {
+    let text = "not run: the team is over its quota; retry after the time in Retry-After";
+    with_retry_after(plain(StatusCode::TOO_MANY_REQUESTS, text), retry_after)
+}
+
+fn with_retry_after(mut refusal: Reply, retry_after: Duration) -> Reply {
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         refusal.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -36,6 +36,7 @@
 use crate::forward::Forwarded;
 use crate::forward::message::{CHARGED, ForwardReply, ForwardedRequest, Terms};
 use crate::log_throttle::LineKind;
+use crate::quota::{Credit, charge_team};
 use crate::reply;
 use crate::state::State;
 
@@ -112,11 +113,7 @@
         Ok(authorized) => authorized,
         Err(refusal) => return *refusal,
     };
-    if let Some(team) = team {
-        // The team's quota is to be charged here, unless the forwarding node has.
-        let charged = authenticate::is_charged(terms, &received.head.headers);
-        log::debug!(id, team = &*team.name, charged; "request.team");
-    }
+    let authorized = team;
     let team = team.map(|t| Arc::clone(&t.name));
     let fingerprint = || {
         let method = &received.head.method;
@@ -137,7 +134,16 @@
             BANNED_RETRY_AFTER,
         );
     }
+    let is_charged = authenticate::is_charged(terms, &received.head.headers);
+    let mut credit = Credit::default();
+    if let Some(team) = authorized.filter(|_| !is_charged) {
+        match charge_team(&state, team, id, start, route.objective).await {
+            Ok(taken) => credit = taken,
+            Err(refusal) => return *refusal,
+        }
+    }
     let request = ActiveRequest::new(state, &table, route, team, received, start, terms);
+    let request = ActiveRequest { credit, ..request };
     request.run().await
 }
 
@@ -175,6 +181,8 @@
     /// sent it to this node.
     terms: Option<Terms>,
     outgoing: Arc<OutgoingRequest>,
+    /// What it took of its team's quota.
+    credit: Credit,
     start: Time,
 }
 
@@ -233,6 +241,7 @@
             path,
             terms,
             outgoing: Arc::new(outgoing),
+            credit: Credit::default(),
             start,
         }
     }
--- a/crates/gateway/src/serve/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -137,6 +137,7 @@
             );
         }
         if not_run {
+            self.credit.refund();
             let held_for = scatter.held().map(|(until, hold)| match hold {
                 Hold::Quiet => until.time_left(now),
                 Hold::Rate => until.time_left(now).min(MAX_RATE_RETRY_AFTER),
--- a/crates/gateway/src/serve/elsewhere.rs
+++ b/crates/gateway/src/serve/elsewhere.rs
@@ -117,6 +117,7 @@
             log::info!(id, route, not_run, cause, took_us; "request.not-forwarded");
         }
         if not_run {
+            self.credit.refund();
             reply::not_run(cause, NO_LINKS_RETRY_AFTER)
         } else {
             reply::outcome_unknown(loss)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -38,6 +38,7 @@
 use crate::forward::Forwarder;
 use crate::log_throttle::LogThrottle;
 use crate::metrics::Metrics;
+use crate::quota::Quota;
 
 /// Time after its last read of the store for which this node counts as a
 /// reader.
@@ -134,6 +135,8 @@
     link_changes: watch::Sender<()>,
     /// This node's shares of limits that apply to all nodes together.
     pub shares: ArcSwap<Shares>,
+    /// Quotas of teams.
+    pub quota: Quota,
     /// What this node knows from the store.
     store_view: Mutex<StoreView>,
 }
@@ -174,6 +177,7 @@
             forwarder: Forwarder::default(),
             link_changes: watch::Sender::new(()),
             shares: ArcSwap::default(),
+            quota: Quota::default(),
             store_view: Mutex::default(),
         });
         (state, suspicions)
--- a/crates/routing/src/quota/stock.rs
+++ b/crates/routing/src/quota/stock.rs
@@ -27,9 +27,6 @@
 /// Time for which an own bucket is kept after its last use.
 const OWN_TTL: Duration = Duration::from_secs(10);
 
-/// Time that a request is expected to wait for credit when no denial says.
-const DEFAULT_RETRY: Duration = Duration::from_millis(250);
-
 /// What a request of a team was admitted by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -41,6 +38,18 @@
     OwnShare,
 }
 
+impl Source {
+    /// Name in metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Credit => "credit",
+            Self::Advance => "advance",
+            Self::OwnShare => "own-share",
+        }
+    }
+}
+
 /// Decision on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -196,31 +205,12 @@
         self.reporting = 0.0;
     }
 
-    /// Time until credit is expected.
-    #[must_use]
-    pub fn retry_after(&self, now: Time) -> Duration {
-        let left = self.denied_until.time_left(now);
-        if left.is_zero() { DEFAULT_RETRY } else { left }
-    }
-
-    /// Whether the granter has said that the team has no credit now.
-    #[must_use]
-    pub fn is_denied(&self, now: Time) -> bool {
-        now < self.denied_until
-    }
-
     /// Whether there is nothing to tell the granter.
     #[must_use]
     pub fn is_idle(&self, now: Time) -> bool {
         self.unreported <= 0.0 && self.credit <= 0.0 && self.demand(now) < 0.05
     }
 
-    /// Credit and unreported requests, for log lines.
-    #[must_use]
-    pub fn credit(&self) -> f64 {
-        self.credit
-    }
-
     /// Reduces the credit in proportion when the limit is lowered.
     pub fn limit_changed(&mut self, old: Limit, new: Limit) {
         let ratio = new.capacity() / old.capacity();
