Quotas: faults and tables in the simulation, tests of running nodes

A burst after idle time was refused in part, since the first nodes to ask took stock that others needed: all stock together is now at most 0.75 s of the rate.

--- a/crates/routing/src/quota/granter.rs
+++ b/crates/routing/src/quota/granter.rs
@@ -16,6 +16,10 @@
 /// that credit is left for requests that wait at other nodes.
 const STOCK_DIVISOR: f64 = 4.0;
 
+/// Time of the team's rate that all nodes together hold as stock at most. More
+/// would be missing for a burst at other nodes.
+const MAX_STOCK_SECS: f64 = 0.75;
+
 /// Maximum time until more credit is expected that a reply states.
 const MAX_RETRY: Duration = Duration::from_mins(1);
 
@@ -107,10 +111,13 @@
         let bucket = self.teams.get_mut(team)?;
         bucket.held.remove(node);
         bucket.level += demand.returned.max(0.0) - demand.used.max(0.0);
-        let available = bucket.level.min(bucket.room(now) - demand.held.max(0.0));
+        let room = bucket.room(now) - demand.held.max(0.0);
+        let available = bucket.level.min(room);
+        let max_stock = room - bucket.limit.capacity() + MAX_STOCK_SECS * bucket.limit.per_sec;
         let urgent = demand.waiting.min(available).max(0.0).floor();
         let stock = (demand.wanted - demand.waiting)
             .min((available - urgent) / STOCK_DIVISOR)
+            .min(max_stock - urgent)
             .max(0.0)
             .floor();
         let granted = urgent + stock;
--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -88,7 +88,9 @@
     nodes: Vec<Node>,
     /// The first nodes serve; the others are in reserve.
     serving: usize,
-    excluded: Vec<usize>,
+    /// Nodes in reserve instead, from when and until when. Others learn of it up
+    /// to 2 s later.
+    excluded: Vec<(usize, Time, Time)>,
     teams: Vec<(Name, Limit)>,
     net: Vec<Envelope>,
     loss: f64,
@@ -140,8 +142,15 @@
         }
     }
 
-    fn serving_names(&self) -> Vec<Name> {
-        let serving = (0..self.serving).filter(|ix| !self.excluded.contains(ix));
+    /// The serving nodes as node `ix` sees them.
+    fn serving_names(&self, ix: usize) -> Vec<Name> {
+        let lag = u64::try_from(ix * 370 % 2_000).unwrap();
+        let seen = self.now - Duration::from_millis(lag);
+        let is_excluded = |node: usize| {
+            let excluded = &mut self.excluded.iter();
+            excluded.any(|(n, from, until)| *n == node && *from <= seen && seen < *until)
+        };
+        let serving = (0..self.serving).filter(|node| !is_excluded(*node));
         serving
             .map(|ix| Name::clone(&self.nodes[ix].name))
             .collect()
@@ -306,7 +315,6 @@
         for envelope in due {
             self.deliver(envelope);
         }
-        let serving = self.serving_names();
         for ix in 0..self.nodes.len() {
             if self.nodes[ix].away > now {
                 continue;
@@ -326,6 +334,7 @@
                 }
                 let last = self.nodes[ix].last_sent[group];
                 if now.since(last) >= REPORT_INTERVAL {
+                    let serving = self.serving_names(ix);
                     self.tick(ix, group, &serving);
                     self.send(ix, group);
                 }
@@ -470,3 +479,176 @@
         sim.assert_within("hot team");
     }
 }
+
+/// A burst that the configuration allows must not be refused after idle time.
+#[test]
+fn take_burst_after_idle_time_is_admitted() {
+    let mut sim = Sim::new(21, 20, 16, &[(4.0, 100.0)]);
+    sim.run(40, 16, 0.0, |_| {});
+    for _ in 0..95 {
+        let ix = sim.random.below(16);
+        sim.request(ix, 0);
+    }
+    sim.run(1, 16, 0.0, |_| {});
+    assert_eq!(sim.counts[0].refused, 0);
+    sim.run(10, 16, 20.0, |_| {});
+    sim.assert_within("burst");
+}
+
+/// Guards against large teams taking what small ones need.
+#[test]
+fn take_many_unequal_teams_are_admitted() {
+    let rate = |ix: u32| 0.3 * 1.07_f64.powf(f64::from(ix));
+    let teams: Vec<_> = (0..72).map(|ix| (rate(ix), rate(ix).max(2.0))).collect();
+    let mut sim = Sim::new(31, 20, 14, &teams);
+    sim.run(5, 20, 0.9, |_| {});
+    sim.reset_counts();
+    sim.run(10, 20, 0.9, |_| {});
+    let admitted: usize = sim.counts.iter().map(|c| c.admissions).sum();
+    let refused: usize = sim.counts.iter().map(|c| c.refused).sum();
+    println!("72 teams: {admitted} admitted, {refused} refused");
+    assert!(refused * 20 <= admitted, "{admitted} {refused}");
+    sim.assert_within("72 teams");
+}
+
+/// Guards against a cut-off node and the others using its share twice.
+#[test]
+fn take_one_of_three_nodes_cut_off_keeps_the_limit() {
+    for (seed, rate, burst) in [(41, 2.0, 2.0), (42, 30.0, 20.0), (43, 200.0, 100.0)] {
+        for cut in 0..3 {
+            let mut sim = Sim::new(seed, 3, 3, &[(rate, burst)]);
+            sim.run(5, 3, 4.0, |_| {});
+            sim.nodes[cut].side = 1;
+            let end = sim.now + Duration::from_mins(10);
+            let gone = sim.now + Duration::from_secs(4);
+            // The others no longer see it, while it sees all.
+            sim.excluded.push((cut, gone, end));
+            sim.run(40, 3, 4.0, |_| {});
+            sim.nodes[cut].side = 0;
+            sim.excluded.clear();
+            sim.run(10, 3, 4.0, |_| {});
+            sim.assert_within(&format!("rate {rate}, node {cut} cut off"));
+        }
+    }
+}
+
+/// Guards against a granter that dies at any step of its work leaving the team
+/// without service, or with too much.
+#[test]
+fn take_granter_killed_at_each_step_keeps_the_limit() {
+    for step in 0..12 {
+        for factor in [0.9, 5.0] {
+            let mut sim = Sim::new(50 + step, 12, 12, &[(50.0, 25.0)]);
+            sim.run(4, 12, factor, |_| {});
+            sim.now = sim.now + Duration::from_millis(step * 21);
+            let serving = sim.serving_names(0);
+            let group = quota::group(&sim.teams[0].0);
+            let granter = quota::granter(group, &serving).unwrap();
+            let ix = sim.nodes.iter().position(|n| n.name == *granter).unwrap();
+            let end = sim.now + Duration::from_secs(30);
+            sim.nodes[ix] = sim.fresh_node(ix, 0);
+            sim.nodes[ix].away = end;
+            let seen = sim.now + Duration::from_secs(3);
+            sim.excluded.push((ix, seen, end));
+            sim.reset_counts();
+            sim.run(20, 12, factor, |_| {});
+            let count = &sim.counts[0];
+            let (admitted, refused) = (count.admissions, count.refused);
+            println!("killed at {step}, {factor}: {admitted} admitted, {refused} refused");
+            let wanted = (50.0 * 20.0 * f64::min(factor, 1.0) * 0.75).floor();
+            assert!(
+                f64::from(u32::try_from(admitted).unwrap()) >= wanted,
+                "{admitted}"
+            );
+            sim.run(20, 12, factor, |_| {});
+            sim.assert_within("granter killed");
+        }
+    }
+}
+
+/// One random fault of a node, or of the network.
+fn random_fault(sim: &mut Sim) {
+    if !sim.random.chance(STEP.as_secs_f64() * 1.5) {
+        return;
+    }
+    let ix = sim.random.below(sim.nodes.len());
+    let millis = u64::try_from(sim.random.below(4_000)).unwrap();
+    let until = sim.now + Duration::from_millis(millis);
+    match sim.random.below(6) {
+        0 => sim.nodes[ix].away = until,
+        1 => {
+            let side = sim.nodes[ix].side;
+            sim.nodes[ix] = sim.fresh_node(ix, side);
+            sim.nodes[ix].away = sim.now + Duration::from_millis(millis / 4);
+        }
+        2 => sim.nodes[ix].side = 1 - sim.nodes[ix].side,
+        3 => {
+            for node in &mut sim.nodes {
+                node.side = 0;
+            }
+        }
+        4 => sim.loss = [0.0, 0.05, 0.3][sim.random.below(3)],
+        _ => {
+            sim.max_delay = [3, 40, 300][sim.random.below(3)];
+            let end = until + Duration::from_secs(2);
+            sim.excluded.push((ix, sim.now, end));
+        }
+    }
+}
+
+/// Guards against faults that make the nodes admit more than the rule allows.
+#[test]
+fn take_random_faults_keep_the_limit() {
+    for seed in 0..12 {
+        let teams = [(0.3, 1.0), (3.0, 6.0), (40.0, 20.0), (200.0, 50.0)];
+        let nodes = [3, 8, 16][usize::try_from(seed % 3).unwrap()];
+        let mut sim = Sim::new(1_000 + seed, nodes + 2, nodes, &teams);
+        sim.run(30, nodes + 2, 4.0, random_fault);
+        for count in &sim.counts {
+            println!("seed {seed}: {} below the bound", -count.most_over);
+        }
+        sim.assert_within(&format!("seed {seed}, {nodes} nodes"));
+    }
+}
+
+/// Guards against a changed limit that is not in force at once, or that fails
+/// for a limit of zero, which means none.
+#[test]
+fn grant_follows_a_changed_limit() {
+    let (team, node) = (Name::from("team"), Name::from("node"));
+    let mut granter = Granter::default();
+    granter.set_nodes(Time::from_millis(0), [(&node, 1.0)]);
+    let set = |granter: &mut Granter, millis: u64, per_sec: f64| {
+        let now = Time::from_millis(millis);
+        granter.record_contact(now, &node, Some(Duration::ZERO));
+        let limit = Limit {
+            per_sec,
+            burst: per_sec,
+        };
+        granter.set_teams(now, [(&team, limit)]);
+        granter.level("team").unwrap().0
+    };
+    for (millis, per_sec, least, most) in [
+        (500, 100.0, 0.0, 0.0),
+        (1_000, 100.0, 45.0, 50.0),
+        (1_400, 1.0, 1.0, 7.0),
+        (1_800, 100.0, 1.0, 8.0),
+        (2_300, 100.0, 45.0, 60.0),
+    ] {
+        let level = set(&mut granter, millis, per_sec);
+        assert!((least..=most).contains(&level), "{millis}: {level}");
+    }
+    granter.set_teams(Time::from_millis(2_400), []);
+    assert_eq!(granter.level("team"), None);
+    let mut unlimited = heatherrun_kernel::routes::Team {
+        name: team,
+        keys: Vec::new(),
+        per_sec: Some(0.0),
+        burst: 3.0,
+        priority: None,
+        regions: Vec::new(),
+    };
+    assert_eq!(Limit::of(&unlimited), None);
+    unlimited.per_sec = None;
+    assert_eq!(Limit::of(&unlimited), None);
+}
