--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -21,7 +21,7 @@
 use heatherrun_routing::quota::contact::Contact;
 use heatherrun_routing::quota::granter::Granter;
 use heatherrun_routing::quota::stock::Stock;
-use heatherrun_routing::quota::{self, Limit, MAX_GROUPS};
+use heatherrun_routing::quota::{self, Limit, MAX_GROUPS, Standing};
 use heatherrun_routing::table::RouteTable;
 use tokio::sync::{Notify, watch};
 
@@ -161,7 +161,12 @@
             };
             let entry = old.get(&team.name).map_or_else(fresh, Arc::clone);
             let is_serving = |n: &NodeEntry| serving.iter().any(|s| s.name == n.name);
-            let ranked = nodes.iter().map(|n| (&n.name, is_serving(n)));
+            let granter = quota::granter(quota::group(&team.name), serving.iter().map(|n| &n.name));
+            let granter = serving.iter().find(|n| Some(&n.name) == granter);
+            let is_near = |n: &NodeEntry| granter.is_none_or(|g| g.region == n.region);
+            let ranked = nodes
+                .iter()
+                .map(|n| (&n.name, Standing::new(is_serving(n), is_near(n))));
             let may_advance = quota::may_advance(&team.name, &state.own_entry.name, ranked);
             entry.may_advance.store(may_advance, Ordering::Relaxed);
             {
--- a/crates/gateway/src/quota/charge.rs
+++ b/crates/gateway/src/quota/charge.rs
@@ -98,6 +98,10 @@
             let mut answers = self.groups[team.group].answers.subscribe();
             let wake_at = match self.take(state, &team, now, limit) {
                 Decision::Admitted(source) => {
+                    if source == Source::Advance {
+                        // Once it is reported, the node may admit the next one.
+                        self.ask(&team);
+                    }
                     return Charge::Admitted(Credit(Some((team, source))));
                 }
                 Decision::OverLimit(after) if now + after < until => now + after,
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -36,9 +36,9 @@
 pub const CREDIT_TTL: Duration = Duration::from_secs(2);
 
 /// Number of nodes that may admit a request of a team without credit. Each has
-/// at most one such request that is not reported, so together they use 12 of the
+/// at most one such request that is not reported, so together they use 16 of the
 /// 20 requests by which the quota may be exceeded.
-pub const MAX_ADVANCES: usize = 12;
+pub const MAX_ADVANCES: usize = 16;
 
 /// Limit on the requests of one team, over all nodes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -66,10 +66,10 @@
 
     /// Maximum credit of the team's bucket together with what is granted and
     /// not used: the burst, about half of the tolerated overshoot of a window of
-    /// 5 s (10%), and 5 requests of the slack.
+    /// 5 s (10%), and 3 requests of the slack.
     #[must_use]
     pub fn capacity(self) -> f64 {
-        self.burst + 0.06 * (5.0 * self.per_sec + self.burst) + 5.0
+        self.burst + 0.06 * (5.0 * self.per_sec + self.burst) + 3.0
     }
 }
 
@@ -84,17 +84,44 @@
     serving.into_iter().max_by_key(|n| (weight(group, n), *n))
 }
 
+/// Place of a node in the order in which nodes may admit a request without
+/// credit, lowest first. A node far from the granter cannot wait for its reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It is in reserve and near the granter.
+    NearReserve,
+    /// It serves and is near the granter.
+    NearServing,
+    /// It is in reserve and in another region than the granter.
+    FarReserve,
+    /// It serves and is in another region than the granter.
+    FarServing,
+}
+
+impl Standing {
+    /// Standing of a node.
+    #[must_use]
+    pub const fn new(is_serving: bool, is_near: bool) -> Self {
+        match (is_serving, is_near) {
+            (false, true) => Self::NearReserve,
+            (true, true) => Self::NearServing,
+            (false, false) => Self::FarReserve,
+            (true, false) => Self::FarServing,
+        }
+    }
+}
+
 /// Whether `own` is among the nodes that may admit a request of the team without
-/// credit. Serving nodes come first, then those in reserve.
+/// credit.
 #[must_use]
 pub fn may_advance<'a>(
     team: &str,
     own: &Name,
-    nodes: impl IntoIterator<Item = (&'a Name, bool)>,
+    nodes: impl IntoIterator<Item = (&'a Name, Standing)>,
 ) -> bool {
     let seed = xxh3_64(team.as_bytes());
-    let rank = |name: &'a Name, is_serving| (is_serving, weight(seed, name), name);
-    let ranks: Vec<_> = nodes.into_iter().map(|(n, s)| rank(n, s)).collect();
+    let rank = |(name, standing): (&'a Name, Standing)| (standing, weight(seed, name), name);
+    let ranks: Vec<_> = nodes.into_iter().map(rank).collect();
     let own_rank = ranks.iter().find(|(_, _, name)| *name == own);
     own_rank.is_some_and(|own| ranks.iter().filter(|r| *r > own).count() < MAX_ADVANCES)
 }
--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -8,9 +8,9 @@
 use heatherrun_kernel::routes::Name;
 use heatherrun_routing::quota::contact::Contact;
 use heatherrun_routing::quota::granter::Granter;
-use heatherrun_routing::quota::stock::{Decision, Stock, Terms};
+use heatherrun_routing::quota::stock::{Decision, Source, Stock, Terms};
 use heatherrun_routing::quota::{
-    self, Demand, Grant, Limit, MAX_GROUPS, REPLY_TIMEOUT, REPORT_INTERVAL,
+    self, Demand, Grant, Limit, MAX_GROUPS, REPLY_TIMEOUT, REPORT_INTERVAL, Standing,
 };
 
 const STEP: Duration = Duration::from_millis(2);
@@ -95,6 +95,8 @@
     net: Vec<Envelope>,
     loss: f64,
     max_delay: u64,
+    /// Number of regions; a message to another one takes 22 ms longer.
+    regions: usize,
     counts: Vec<Count>,
 }
 
@@ -118,6 +120,7 @@
             net: Vec::new(),
             loss: 0.0,
             max_delay: 3,
+            regions: 1,
         };
         for ix in 0..nodes {
             let node = sim.fresh_node(ix, 0);
@@ -142,6 +145,10 @@
         }
     }
 
+    fn is_near(&self, a: usize, b: usize) -> bool {
+        a % self.regions == b % self.regions
+    }
+
     /// The serving nodes as node `ix` sees them.
     fn serving_names(&self, ix: usize) -> Vec<Name> {
         let lag = u64::try_from(ix * 370 % 2_000).unwrap();
@@ -186,6 +193,7 @@
     fn settle(&mut self, ix: usize) {
         let now = self.now;
         let mut waiting = std::mem::take(&mut self.nodes[ix].waiting);
+        let mut reported = Vec::new();
         waiting.retain_mut(|(team, deadline, next)| {
             if now < *next {
                 return true;
@@ -193,7 +201,8 @@
             let terms = self.terms(ix, *team);
             let is_in_time = |at: Time| at < *deadline;
             match self.nodes[ix].stocks[*team].take(now, &terms) {
-                Decision::Admitted(_) => {
+                Decision::Admitted(source) => {
+                    reported.extend((source == Source::Advance).then_some(*team));
                     let limit = terms.limit;
                     self.counts[*team].admit(now, limit);
                     false
@@ -213,7 +222,8 @@
         for group in 0..self.nodes[ix].contacts.len() {
             let names = &self.teams;
             let asks = |w: &(usize, Time, Time)| w.2 <= now && group_of(&names[w.0].0) == group;
-            if self.nodes[ix].waiting.iter().any(asks) {
+            let has_advance = reported.iter().any(|t| group_of(&names[*t].0) == group);
+            if has_advance || self.nodes[ix].waiting.iter().any(asks) {
                 self.send(ix, group);
             }
         }
@@ -250,7 +260,11 @@
         }
         let spread = usize::try_from(self.max_delay).unwrap();
         let delay = u64::try_from(self.random.below(spread)).unwrap();
-        let delay = if from == to { 0 } else { 1 + delay };
+        let delay = match (from == to, self.is_near(from, to)) {
+            (true, _) => 0,
+            (false, true) => 1 + delay,
+            (false, false) => 22 + delay,
+        };
         self.net.push(Envelope {
             due: self.now + Duration::from_millis(delay),
             sent,
@@ -350,7 +364,14 @@
         let now = self.now;
         for (team, (name, _)) in self.teams.iter().enumerate() {
             let all = self.nodes.iter();
-            let all = all.map(|n| (&n.name, serving.contains(&n.name)));
+            let granter = self.nodes[ix].contacts[group_of(name)].granter();
+            let granter = self.nodes.iter().position(|n| Some(&n.name) == granter);
+            let is_near = |ix| granter.is_none_or(|g| self.is_near(g, ix));
+            let standing =
+                |(ix, n): (usize, &Node)| Standing::new(serving.contains(&n.name), is_near(ix));
+            let all = all
+                .enumerate()
+                .map(|(ix, n)| (&self.nodes[ix].name, standing((ix, n))));
             let may_advance = quota::may_advance(name, &self.nodes[ix].name, all);
             self.nodes[ix].may_advance[team] = may_advance;
         }
@@ -464,6 +485,29 @@
     }
 }
 
+/// Guards against refusals at nodes in another region than the granter, whose
+/// replies take longer than a request may wait.
+#[test]
+fn take_below_limit_in_other_regions_is_admitted() {
+    for (seed, rate, burst) in [
+        (61, 0.3, 2.0),
+        (62, 1.0, 2.0),
+        (63, 5.0, 5.0),
+        (64, 40.0, 20.0),
+        (65, 200.0, 60.0),
+    ] {
+        let mut sim = Sim::new(seed, 20, 16, &[(rate, burst)]);
+        sim.regions = 3;
+        sim.run(5, 16, 0.9, |_| {});
+        sim.reset_counts();
+        sim.run(40, 16, 0.9, |_| {});
+        let (admitted, refused) = (sim.counts[0].admissions, sim.counts[0].refused);
+        println!("far, rate {rate}: {admitted} admitted, {refused} refused");
+        assert!(refused * 20 <= admitted, "{rate}: {admitted} {refused}");
+        sim.assert_within("other regions");
+    }
+}
+
 /// Guards against a team at six times its rate getting more or much less than
 /// its limit.
 #[test]
