--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -13,6 +13,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
     },
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
@@ -88,12 +89,28 @@
     }
 }
 
-/// What the teams and granters were last derived from.
-type Basis = (
-    Option<Arc<RouteTable>>,
-    Arc<Vec<NodeEntry>>,
-    Arc<Vec<NodeEntry>>,
-);
+/// Interval at which the granters' buckets are filled although no message
+/// arrives, from which a granter tells that it has been suspended.
+const FILL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// What the teams and granters were last derived from, and when.
+#[derive(Default)]
+struct Basis {
+    table: Option<Arc<RouteTable>>,
+    nodes: Arc<Vec<NodeEntry>>,
+    serving: Arc<Vec<NodeEntry>>,
+    filled_at: Time,
+}
+
+impl Basis {
+    fn is_same(&self, table: Option<&Arc<RouteTable>>, nodes: &Arc<Vec<NodeEntry>>) -> bool {
+        let is_same_table = match (&self.table, table) {
+            (Some(old), Some(new)) => Arc::ptr_eq(old, new),
+            (old, new) => old.is_none() && new.is_none(),
+        };
+        is_same_table && Arc::ptr_eq(&self.nodes, nodes)
+    }
+}
 
 /// Quotas of teams at this node.
 #[derive(Default)]
@@ -101,7 +118,7 @@
     /// Teams with a limit, by name.
     teams: ArcSwap<HashMap<Name, Arc<TeamQuota>>>,
     groups: [Group; GROUPS],
-    basis: Mutex<Option<Basis>>,
+    basis: Mutex<Basis>,
     exchange: Exchange,
 }
 
@@ -119,18 +136,21 @@
         let mut basis = self.basis.lock().unwrap_or_else(PoisonError::into_inner);
         let table = state.route_table.load_full();
         let (nodes, serving) = (state.nodes.load_full(), state.serving.load_full());
-        let is_same = basis.as_ref().is_some_and(|(t, n, s)| {
-            let is_table = match (t, &table) {
-                (Some(old), Some(new)) => Arc::ptr_eq(old, new),
-                (old, new) => old.is_none() && new.is_none(),
-            };
-            is_table && Arc::ptr_eq(n, &nodes) && Arc::ptr_eq(s, &serving)
-        });
-        if !is_same {
+        if basis.is_same(table.as_ref(), &nodes) && Arc::ptr_eq(&basis.serving, &serving) {
+            let is_filled = now.since(basis.filled_at) < FILL_INTERVAL;
+            if is_filled || self.teams.load().is_empty() {
+                return;
+            }
+        } else {
             self.update_teams(state, table.as_deref(), &nodes, &serving);
-            *basis = Some((table, nodes, Arc::clone(&serving)));
         }
         self.update_granters(state, now, &serving);
+        *basis = Basis {
+            table,
+            nodes,
+            serving,
+            filled_at: now,
+        };
     }
 
     /// Takes the teams with a limit from the configuration; the state of others
--- a/crates/gateway/src/quota/messages.rs
+++ b/crates/gateway/src/quota/messages.rs
@@ -16,7 +16,7 @@
 
 /// Minimum interval between messages to a granter that requests wait for. It
 /// bounds the messages of a node with many waiting requests.
-const MIN_INTERVAL: Duration = Duration::from_millis(2);
+const MIN_INTERVAL: Duration = Duration::from_millis(4);
 
 /// A message under way: its teams, and the groups that it is for.
 struct Sending {
--- a/crates/routing/src/quota/granter.rs
+++ b/crates/routing/src/quota/granter.rs
@@ -103,12 +103,13 @@
         counted.contact = silent_for.map(|silent_for| now - silent_for);
     }
 
-    /// Answers the demand of a node for one team; `None` if this node grants no
+    /// Answers the demand of a node for one team, after
+    /// [`Self::record_contact`] of the same message; `None` if this node grants no
     /// credit of it.
     pub fn grant(&mut self, now: Time, node: &Name, team: &str, demand: &Demand) -> Option<Grant> {
-        self.fill(now);
         let share = self.share_in_touch(now);
         let bucket = self.teams.get_mut(team)?;
+        bucket.fill(now, share);
         bucket.held.remove(node);
         bucket.level += demand.returned.max(0.0) - demand.used.max(0.0);
         let room = bucket.room(now) - demand.held.max(0.0);
