--- a/crates/gateway/src/log_throttle.rs
+++ b/crates/gateway/src/log_throttle.rs
@@ -28,12 +28,14 @@
     EndedEarly,
     /// The slow start of a target began or ended.
     TargetRamp,
+    /// A request was rejected because its team is over its quota.
+    OverQuota,
 }
 
 /// Name and maximum number of lines per second of each kind, in the order of
 /// [`LineKind`]. A node with a quarter of a core serves about 60 requests/s:
 /// each failed one gets its line, even at several times that load.
-const LINES_PER_SEC: [(&str, u64); 8] = [
+const LINES_PER_SEC: [(&str, u64); 9] = [
     ("request.failed", 400),
     ("request.partial", 100),
     ("call.failed", 200),
@@ -42,6 +44,7 @@
     ("request.unauthorized", 50),
     ("request.ended-early", 400),
     ("target.ramp", 100),
+    ("request.over-quota", 50),
 ];
 
 /// Counts of one kind of line.
--- a/crates/gateway/src/serve/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -141,6 +141,7 @@
             self.log_ended_early(scatter);
         }
         if not_run {
+            self.credit.refund();
             let held_for = scatter.held().map(|(until, hold)| match hold {
                 Hold::Quiet => until.time_left(now),
                 Hold::Rate => until.time_left(now).min(MAX_RATE_RETRY_AFTER),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod pace;
 pub mod pacer;
 pub mod plan;
+pub mod quota;
 pub mod ramp;
 pub mod refusals;
 pub mod route_stats;
--- a/crates/routing/tests/rejecting.rs
+++ b/crates/routing/tests/rejecting.rs
@@ -60,6 +60,8 @@
             is_excluded: &|_| false,
             next_call: &|t| t.refusals.resume_at(),
             max_calls: &|t| t.refusals.max_calls(),
+            node_share: 1.0,
+            draw: &|| 0,
         };
         decide(&Context {
             choose: &|shard, tried| match choose(now, &self.targets[shard], tried, &constraints) {
