Admission control: the decision logic

Cause: each request starts all its calls as soon as it is read; under overload that fills the queues at the targets. Not called yet.

--- /dev/null
+++ b/crates/routing/src/admission/limit.rs
@@ -0,0 +1,234 @@
+//! Limit on the requests in progress at one destination, adapted to what its
+//! targets complete in time.
+
+use std::{collections::HashMap, time::Duration};
+
+use heatherrun_kernel::Time;
+use heatherrun_kernel::routes::Name;
+
+/// Limit at the start. A node below overload has fewer requests in progress; one
+/// that has more raises the limit, unless its targets show load.
+pub const INITIAL_LIMIT: f64 = 256.0;
+
+/// Lowest limit: enough that each destination keeps being measured.
+pub const MIN_LIMIT: f64 = 4.0;
+
+/// Time over which evidence is collected.
+pub const WINDOW: Duration = Duration::from_millis(250);
+
+/// Longest time over which evidence is collected when there is little of it.
+const MAX_WINDOW: Duration = Duration::from_secs(1);
+
+/// Time without any event after which the limit is the initial one again.
+const IDLE_RESET: Duration = Duration::from_secs(2);
+
+/// Number of answers, and of calls to one service, that a window needs.
+const MIN_SAMPLES: u32 = 4;
+
+/// Share of the calls to one service that must show load.
+const LOADED_SHARE: f64 = 0.2;
+
+/// Share of answers that may miss their objective for other reasons than load.
+const MISSED_SHARE: f64 = 0.1;
+
+/// Time to an answer, as a share of the objective, that the limit aims at. The
+/// rest is for the wait before the start (a fifth) and for variation.
+const AIMED_SHARE: f64 = 0.6;
+
+/// Bounds of the factor of one reduction.
+const MIN_CUT: f64 = 0.5;
+const MAX_CUT: f64 = 0.9;
+
+/// Growth per window while the limit is reached: with loaded targets and
+/// without.
+const LOADED_GROWTH: f64 = 1.05;
+const FREE_GROWTH: f64 = 1.2;
+
+/// Growth per window while the limit is not reached. It restores a tenth of the
+/// initial limit within 2 s, after which it no longer restrains the node.
+const UNUSED_GROWTH: f64 = 1.35;
+
+/// How a started request ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Answer {
+    /// Whether it was answered in full within its objective.
+    pub is_kept: bool,
+    /// Time from its start to its end as a share of the objective.
+    pub took_share: f64,
+}
+
+/// Evidence of one window.
+#[derive(Debug, Default)]
+struct Window {
+    start: Time,
+    /// Most requests in progress, and whether that reached the limit.
+    peak: u32,
+    was_full: bool,
+    /// Requests that ended.
+    ends: u32,
+    /// Answers of requests that were started under the present limit.
+    answers: u32,
+    missed: u32,
+    share_sum: f64,
+    /// Calls by service, and those among them that show load.
+    calls: HashMap<Name, (u32, u32)>,
+}
+
+impl Window {
+    /// Whether the targets of any service show load: the scarcest one limits
+    /// whole searches.
+    fn is_loaded(&self) -> bool {
+        let shows_load = |(calls, loaded): &(u32, u32)| {
+            *calls >= MIN_SAMPLES && f64::from(*loaded) >= f64::from(*calls) * LOADED_SHARE
+        };
+        self.calls.values().any(shows_load)
+    }
+
+    fn is_missing(&self) -> bool {
+        f64::from(self.missed) > f64::from(self.answers) * MISSED_SHARE
+    }
+}
+
+/// Adaptive limit on requests in progress.
+#[derive(Debug)]
+pub struct Limit {
+    value: f64,
+    window: Window,
+    /// Last event.
+    last_at: Time,
+    /// Time of the last reduction. Answers of earlier starts tell nothing of the
+    /// present limit.
+    cut_at: Time,
+    /// Requests per second that ended in the last window; zero when unknown.
+    end_rate: f64,
+}
+
+impl Default for Limit {
+    fn default() -> Self {
+        Self {
+            value: INITIAL_LIMIT,
+            window: Window::default(),
+            last_at: Time::default(),
+            cut_at: Time::default(),
+            end_rate: 0.0,
+        }
+    }
+}
+
+impl Limit {
+    /// Requests that may be in progress.
+    #[must_use]
+    pub const fn value(&self) -> f64 {
+        self.value
+    }
+
+    /// Requests per second that ended in the last window; zero when unknown.
+    #[must_use]
+    pub const fn end_rate(&self) -> f64 {
+        self.end_rate
+    }
+
+    /// Whether one more request may start with `in_progress` others.
+    pub fn has_room(&mut self, in_progress: u32) -> bool {
+        let wanted = f64::from(in_progress) + 1.0;
+        if wanted <= self.value {
+            return true;
+        }
+        self.window.was_full = true;
+        // Without evidence of load, many requests are no overload.
+        if self.value < INITIAL_LIMIT || self.window.is_loaded() {
+            return false;
+        }
+        self.value = wanted;
+        true
+    }
+
+    /// Records that a request started, which makes `in_progress` of them.
+    pub fn record_start(&mut self, in_progress: u32) {
+        self.window.peak = self.window.peak.max(in_progress);
+    }
+
+    /// Records that a request started at `started` ended; no answer if its caller
+    /// left.
+    pub fn record_end(&mut self, started: Time, answer: Option<Answer>) {
+        self.window.ends += 1;
+        let Some(answer) = answer.filter(|_| started >= self.cut_at) else {
+            return;
+        };
+        self.window.answers += 1;
+        self.window.missed += u32::from(!answer.is_kept);
+        self.window.share_sum += answer.took_share;
+    }
+
+    /// Records a call to a target of `service`. It is loaded if the target
+    /// rejected it because it was full, or reported about one waiting call per
+    /// slot.
+    pub fn record_call(&mut self, service: &Name, is_loaded: bool) {
+        if let Some((calls, loaded)) = self.window.calls.get_mut(service) {
+            *calls += 1;
+            *loaded += u32::from(is_loaded);
+            return;
+        }
+        let counts = (1, u32::from(is_loaded));
+        self.window.calls.insert(Name::clone(service), counts);
+    }
+
+    /// Evaluates the window if it has ended; true if it has.
+    pub fn advance(&mut self, now: Time, in_progress: u32) -> bool {
+        let idle = now.since(self.last_at);
+        self.last_at = now;
+        if idle >= IDLE_RESET && in_progress == 0 {
+            *self = Self {
+                window: Window {
+                    start: now,
+                    ..Window::default()
+                },
+                last_at: now,
+                ..Self::default()
+            };
+            return true;
+        }
+        let length = now.since(self.window.start);
+        if length < WINDOW || (self.window.answers < MIN_SAMPLES && length < MAX_WINDOW) {
+            return false;
+        }
+        let next = Window {
+            start: now,
+            peak: in_progress,
+            ..Window::default()
+        };
+        let window = std::mem::replace(&mut self.window, next);
+        self.end_rate = f64::from(window.ends) / length.as_secs_f64();
+        self.adapt(now, &window);
+        true
+    }
+
+    fn adapt(&mut self, now: Time, window: &Window) {
+        let is_loaded = window.is_loaded();
+        let mean_share = window.share_sum / f64::from(window.answers.max(1));
+        if is_loaded && window.is_missing() {
+            if window.answers >= MIN_SAMPLES {
+                // At the same rate, the time to an answer is proportional to the
+                // number of requests in progress.
+                let factor = (AIMED_SHARE / mean_share).clamp(MIN_CUT, MAX_CUT);
+                let used = self.value.min(f64::from(window.peak));
+                self.value = (used * factor).max(MIN_LIMIT);
+                self.cut_at = now;
+            }
+            return;
+        }
+        if !window.was_full {
+            let grown = (self.value * UNUSED_GROWTH).min(INITIAL_LIMIT);
+            self.value = self.value.max(grown);
+            return;
+        }
+        let growth = match (is_loaded, mean_share < AIMED_SHARE) {
+            (false, _) => FREE_GROWTH,
+            (true, true) => LOADED_GROWTH,
+            (true, false) => return,
+        };
+        if window.answers > 0 {
+            self.value = (self.value * growth).max(self.value + 1.0);
+        }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! The code is deterministic and does no I/O: an event and the current time
 //! come in, actions come out. It opens no socket and reads no clock.
 
+pub mod admission;
 pub mod cell;
 pub mod choice;
 pub mod crash_detector;
