Requests wait or are refused when their targets are full

Cause: under overload every request starts all its calls, so that all of them miss their objective. Change: serve/admit.rs asks the controller of the request's destination before the first call; the place is given back when the request ends or its caller leaves. Active where there are teams or replies with load figures. The counts of fairness have a half-life of 1 s instead of 2 s. Tests of routing, gateway and platform pass; platform's start failed once with a port in use (other tests ran at the same time) and passed alone.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,7 +13,8 @@
 use heatherrun_routing::scatter::{CallEnd, Reason};
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -29,6 +30,34 @@
 /// Label value shared by the names beyond [`MAX_LABEL_NAMES`].
 const OVERFLOW_LABEL: &str = "other";
 
+/// Label values of priorities; the last one is shared by all lower priorities.
+const PRIORITY_LABELS: [&str; 5] = ["0", "1", "2", "3", "4+"];
+
+fn priority_label(priority: u8) -> &'static str {
+    PRIORITY_LABELS[usize::from(priority).min(PRIORITY_LABELS.len() - 1)]
+}
+
+/// What the load of its destination meant for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It started at once.
+    Started,
+    /// It started after a wait.
+    Waited,
+    /// It was refused.
+    Refused,
+}
+
+impl Admission {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Started => "started",
+            Self::Waited => "waited",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// Metrics of one node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -40,6 +69,8 @@
     limited_calls: IntCounterVec,
     links_down: IntGauge,
     forwards: IntCounterVec,
+    admissions: IntCounterVec,
+    waiting: IntGaugeVec,
     /// Configured names that have series of their own.
     label_names: Mutex<HashSet<Name>>,
 }
@@ -91,9 +122,22 @@
                 "requests forwarded to other nodes, by end",
                 &["end"],
             ),
+            admissions: counter(
+                "heatherrun_admissions_total",
+                "requests that were admitted or refused by load, by priority",
+                &["priority", "outcome"],
+            ),
+            waiting: IntGaugeVec::new(
+                Opts::new(
+                    "heatherrun_waiting_requests",
+                    "requests that wait for room at their targets, by priority",
+                ),
+                &["priority"],
+            )
+            .expect(valid),
             label_names: Mutex::default(),
         };
-        let collectors: [Box<dyn Collector>; 7] = [
+        let collectors: [Box<dyn Collector>; 9] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.answer_seconds.clone()),
             Box::new(metrics.calls.clone()),
@@ -101,6 +145,8 @@
             Box::new(metrics.limited_calls.clone()),
             Box::new(metrics.links_down.clone()),
             Box::new(metrics.forwards.clone()),
+            Box::new(metrics.admissions.clone()),
+            Box::new(metrics.waiting.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).expect(valid);
@@ -166,6 +212,18 @@
         self.forwards.with_label_values(&[end]).inc();
     }
 
+    /// Records whether a request of this priority was admitted.
+    pub fn record_admission(&self, priority: u8, outcome: Admission) {
+        let labels = [priority_label(priority), outcome.name()];
+        self.admissions.with_label_values(&labels).inc();
+    }
+
+    /// Adds to the number of requests of this priority that wait for room.
+    pub fn add_waiting(&self, priority: u8, change: i64) {
+        let waiting = self.waiting.with_label_values(&[priority_label(priority)]);
+        waiting.add(change);
+    }
+
     /// Label value for `name`: the name itself, or the shared one once
     /// [`MAX_LABEL_NAMES`] others have series.
     fn label<'a>(&self, name: &'a Name) -> &'a str {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,29 +1,28 @@
 //! Serves one caller's request, from its arrival to its reply: here, or
 //! [`elsewhere`].
 
+mod admit;
 mod answer;
 mod authenticate;
+mod caller_path;
 mod elsewhere;
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+pub(crate) use admit::Destinations;
+
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures::stream::{FuturesUnordered, StreamExt};
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Destination, Name, Route};
-use heatherrun_kernel::time::micros;
 use heatherrun_ports::http_reply::{Fault, Reply, plain};
-use heatherrun_ports::http_server::{ConnectionNote, Received};
+use heatherrun_ports::http_server::Received;
 use heatherrun_routing::choice::{self, Choice, ChoiceConstraints};
 use heatherrun_routing::crash_detector;
 use heatherrun_routing::fleet::Services;
 use heatherrun_routing::links::Phase;
 use heatherrun_routing::pacer::Pace;
 use heatherrun_routing::plan::{CallerPath, Plan};
-use heatherrun_routing::route_stats::RouteLatency;
 use heatherrun_routing::scatter::{
     CallToSend, Context, RequestShard, Scatter, TargetChoice, Verdict,
 };
@@ -31,6 +30,7 @@
 use heatherrun_routing::target::Target;
 use http::{Response, StatusCode, header};
 
+use self::admit::Gate;
 use crate::calls::{self, EndedCall, OutgoingRequest};
 use crate::crash_tracker;
 use crate::forward::Forwarded;
@@ -147,6 +147,8 @@
     Here(Outcome),
     /// Another node replied.
     Elsewhere(Reply),
+    /// It was refused before it started.
+    Refused(Reply),
 }
 
 /// What a request has come to at this node.
@@ -175,6 +177,8 @@
     /// sent it to this node.
     terms: Option<Terms>,
     outgoing: Arc<OutgoingRequest>,
+    /// Admission to the destination; none where it is not active.
+    gate: Option<Arc<Gate>>,
     start: Time,
 }
 
@@ -206,7 +210,9 @@
         let time_left = time_left.or(head.time_left);
         let path = match (terms, time_left) {
             (Some(terms), _) => terms.path(),
-            (None, Some(time_left)) => caller_path(&received, &route, time_left, &route_latency),
+            (None, Some(time_left)) => {
+                caller_path::observe(&received, &route, time_left, &route_latency)
+            }
             (None, None) => CallerPath::default(),
         };
         let time_left = time_left.unwrap_or(route.timeout);
@@ -223,7 +229,9 @@
             team,
             ..outgoing_request(&state, table.has_teams(), received)
         };
+        let gate = state.destinations.gate(table.has_teams(), &shards);
         Self {
+            gate,
             state,
             table: Arc::clone(table),
             route,
@@ -251,9 +259,9 @@
                 forwarded => return self.build_forwarded(forwarded),
             }
         }
-        match self.run_here().await {
+        match self.run_admitted().await {
             Ended::Here(outcome) => self.build_reply(outcome),
-            Ended::Elsewhere(reply) => reply,
+            Ended::Elsewhere(reply) | Ended::Refused(reply) => reply,
         }
     }
 
@@ -355,12 +363,10 @@
             target.pacer.record_call(now, pace);
         }
         let max_connections = usize::from(self.max_calls(target));
-        calls::send_call(
-            Arc::clone(&self.state),
-            Arc::clone(&self.outgoing),
-            call_to_send,
-            max_connections,
-        )
+        let (state, target) = (Arc::clone(&self.state), Arc::clone(target));
+        let outgoing = Arc::clone(&self.outgoing);
+        let call = calls::send_call(Arc::clone(&state), outgoing, call_to_send, max_connections);
+        admit::observe_call(state, self.gate.clone(), target, call)
     }
 
     /// Maximum number of concurrent calls from this node to one target.
@@ -446,25 +452,6 @@
     }
 }
 
-/// Path of the caller. Its round trip is kept for the other requests of its
-/// connection.
-fn caller_path(
-    received: &Received,
-    route: &Route,
-    time_left: Duration,
-    latency: &RouteLatency,
-) -> CallerPath {
-    let longest = latency.record_wait(time_left);
-    let note = received.head.extensions.get::<ConnectionNote>();
-    let known = note.map_or(0, |note| note.0.load(Ordering::Relaxed));
-    let known = Duration::from_micros(known);
-    let path = CallerPath::new(time_left, longest, route.objective, known);
-    if let Some(note) = note {
-        note.0.store(micros(path.round_trip), Ordering::Relaxed);
-    }
-    path
-}
-
 /// Builds the request for the targets from a caller's request, without the
 /// headers that concern only the caller's connection or this tier. The id, the
 /// team, the deadline and the fields about the route are left for the caller to set.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -38,6 +38,7 @@
 use crate::forward::Forwarder;
 use crate::log_throttle::LogThrottle;
 use crate::metrics::Metrics;
+use crate::serve::Destinations;
 
 /// Time after its last read of the store for which this node counts as a
 /// reader.
@@ -115,6 +116,8 @@
     pub route_stats: RouteStats,
     /// Client for calls to targets, with its connections.
     pub target_client: Client,
+    /// Admission to the destinations of requests.
+    pub(crate) destinations: Destinations,
     /// Crash-causing requests.
     pub crash_tracker: CrashTracker,
     /// Metrics of this node.
@@ -165,6 +168,7 @@
             suspicions: Mutex::default(),
             route_stats: RouteStats::default(),
             target_client: Client::default(),
+            destinations: Destinations::default(),
             crash_tracker,
             metrics: Metrics::default(),
             log_throttle: LogThrottle::default(),
--- a/crates/routing/src/admission/fairness.rs
+++ b/crates/routing/src/admission/fairness.rs
@@ -6,8 +6,9 @@
 use heatherrun_kernel::routes::Name;
 
 /// Half-life of the counts: long enough for a class with a request per second,
-/// short enough that a burst is forgotten within a few seconds.
-const HALF_LIFE: Duration = Duration::from_secs(2);
+/// short enough that what a class got before an overload does not withhold its
+/// guaranteed starts for long (with 2 s it fell below them over 8 s).
+const HALF_LIFE: Duration = Duration::from_secs(1);
 
 /// Share of the start rate of all classes below which a class is behind. A class
 /// is guaranteed a quarter; the difference covers the delay of the counts.
