Admission: rejections that a lower limit does not reduce are ignored

Cause: targets that reject for another reason than load would bring the limit to its floor, and requests of the most urgent route counted as late by the mean time of all routes. Change: four reductions must reduce the rejections by a fifth, else the limit is restored for 5 s; the shortest recent time decides who is late.

--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -58,7 +58,11 @@
         if let Some(gate) = self.gates.load().get(&key) {
             return Arc::clone(gate);
         }
-        let added = Arc::new(Gate::default());
+        let added = Arc::new(Gate {
+            service: services.first().cloned().unwrap_or_default(),
+            shards: services.len(),
+            controller: Mutex::default(),
+        });
         self.gates.rcu(|gates| {
             let mut gates = HashMap::clone(gates);
             if gates.len() >= MAX_UNUSED {
@@ -73,12 +77,42 @@
 }
 
 /// Admission to one destination.
-#[derive(Debug, Default)]
-pub(crate) struct Gate(Mutex<Controller<Waker>>);
+#[derive(Debug)]
+pub(crate) struct Gate {
+    /// First of its services, and their number, for logs.
+    service: Name,
+    shards: usize,
+    controller: Mutex<Controller<Waker>>,
+}
 
 impl Gate {
     fn lock(&self) -> MutexGuard<'_, Controller<Waker>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.controller
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Applies an event, and starts waiting requests while there is room. A
+    /// request that left meanwhile gives its place back itself.
+    fn apply<R>(&self, now: Time, event: impl FnOnce(&mut Controller<Waker>) -> R) -> R {
+        let mut controller = self.lock();
+        let result = event(&mut controller);
+        while let Some(waker) = controller.pop_ready(now) {
+            let _ = waker.send(());
+        }
+        let change = controller.take_change();
+        let (limit, in_progress) = (controller.limit(), controller.in_progress());
+        drop(controller);
+        let (service, shards) = (&*self.service, self.shards);
+        match change {
+            Some(true) => log::info!(
+                service, shards, in_progress, limit:% = format_args!("{limit:.0}");
+                "admission.limited"
+            ),
+            Some(false) => log::info!(service, shards, in_progress; "admission.open"),
+            None => {}
+        }
+        result
     }
 
     /// Records a call that ended. A call that the target rejected counts as load
@@ -121,14 +155,6 @@
     ended
 }
 
-/// Starts waiting requests while there is room. A request that left meanwhile
-/// gives its place back itself.
-fn start_ready(controller: &mut Controller<Waker>, now: Time) {
-    while let Some(waker) = controller.pop_ready(now) {
-        let _ = waker.send(());
-    }
-}
-
 /// Place of a started request; it is given back when dropped.
 struct Place {
     gate: Arc<Gate>,
@@ -140,9 +166,8 @@
 impl Drop for Place {
     fn drop(&mut self) {
         let now = self.clock.now();
-        let mut controller = self.gate.lock();
-        controller.end(now, self.started, self.answer);
-        start_ready(&mut controller, now);
+        self.gate
+            .apply(now, |c| c.end(now, self.started, self.answer));
     }
 }
 
@@ -239,9 +264,7 @@
             end: self.plan.end,
         };
         let (waker, woken) = oneshot::channel();
-        let mut controller = gate.lock();
-        let decision = controller.arrive(now, arrival, || waker);
-        start_ready(&mut controller, now);
+        let decision = gate.apply(now, |c| c.arrive(now, arrival, || waker));
         (decision, woken)
     }
 
@@ -289,7 +312,7 @@
         state.metrics.record_admission(priority, Admission::Refused);
         state
             .metrics
-            .record_failure(&self.route.name, true, "no-room");
+            .record_failure(&self.route.name, true, "overload");
         if state.log_throttle.allows(now, LineKind::RejectedRequest) {
             let (waiting, limit) = {
                 let controller = gate.lock();
--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use heatherrun_gateway::metrics::{CallSample, Metrics};
+use heatherrun_gateway::metrics::{Admission, CallSample, Metrics};
 use heatherrun_kernel::routes::Name;
 use heatherrun_routing::scatter::{CallEnd, Reason};
 
@@ -65,3 +65,21 @@
     assert_eq!(text.matches("heatherrun_requests_total{").count(), 301);
     assert!(text.contains("route=\"other\"} 700"), "{text}");
 }
+
+#[test]
+fn record_admission_counts_by_priority() {
+    let metrics = Metrics::default();
+    metrics.record_admission(0, Admission::Started);
+    for priority in [4, 250] {
+        metrics.record_admission(priority, Admission::Refused);
+    }
+    metrics.add_waiting(1, 1);
+    let text = encoded_text(&metrics);
+    for line in [
+        "heatherrun_admissions_total{outcome=\"started\",priority=\"0\"} 1",
+        "heatherrun_admissions_total{outcome=\"refused\",priority=\"4+\"} 2",
+        "heatherrun_waiting_requests{priority=\"1\"} 1",
+    ] {
+        assert!(text.contains(line), "{line} in\n{text}");
+    }
+}
--- a/crates/report/src/story.rs
+++ b/crates/report/src/story.rs
@@ -17,7 +17,7 @@
 const MAX_AROUND: usize = 40;
 
 /// Events that end a request, and the outcome that each stands for.
-const OUTCOMES: [(&str, &str); 9] = [
+const OUTCOMES: [(&str, &str); 10] = [
     ("request.answered", "answered"),
     ("request.partial", "answered without some shards"),
     ("request.failed", "not answered"),
@@ -36,6 +36,10 @@
         "request.no-region",
         "refused: its route and its team have no region in common",
     ),
+    (
+        "request.no-room",
+        "refused: too many requests were waiting for its searchers",
+    ),
 ];
 
 /// Causes in log lines, and the meaning of each.
@@ -86,7 +90,9 @@
 ];
 
 /// Events about the state of the node that logged them.
-const NODE_EVENTS: [&str; 15] = [
+const NODE_EVENTS: [&str; 17] = [
+    "admission.limited",
+    "admission.open",
     "config.in-force",
     "domain.out",
     "domain.back",
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -16,7 +16,7 @@
 pub use limit::Answer;
 
 use fairness::Fairness;
-use limit::Limit;
+use limit::{INITIAL_LIMIT, Limit};
 
 /// Divisor of the objective that gives the longest wait: a refusal must reach the
 /// caller within a quarter of the objective.
@@ -30,8 +30,8 @@
 /// Most requests that wait, which bounds the time to choose among them.
 const MAX_WAITING: usize = 512;
 
-/// Weight of one request in the mean time to an answer.
-const TOOK_WEIGHT: f64 = 0.1;
+/// Weight of a slower answer in the shortest time to an answer.
+const SLOWER_WEIGHT: f64 = 0.01;
 
 /// Bounds of `Retry-After` of refused requests, in milliseconds.
 const MIN_RETRY_MS: u64 = 100;
@@ -89,8 +89,11 @@
     next_ticket: u64,
     /// Starts since the last reserved one.
     unreserved: u32,
-    /// Mean time from the start to the answer.
-    mean_took: Duration,
+    /// Shortest recent time from the start to an answer, over all routes: with the
+    /// mean, requests of the most urgent route would count as late.
+    least_took: Duration,
+    /// Whether the limit was below the initial one when last asked.
+    was_limited: bool,
 }
 
 impl<W> Default for Controller<W> {
@@ -102,7 +105,8 @@
             queue: Vec::new(),
             next_ticket: 0,
             unreserved: 0,
-            mean_took: Duration::ZERO,
+            least_took: Duration::ZERO,
+            was_limited: false,
         }
     }
 }
@@ -155,7 +159,7 @@
     /// Those that can still meet their objective first, then by priority, by use
     /// of the team and by time left.
     fn order(&self, now: Time, arrival: &Arrival) -> Order {
-        let is_late = now + self.mean_took > arrival.due;
+        let is_late = now + self.least_took > arrival.due;
         let team = arrival.class.team.as_ref();
         let usage = self.fairness.usage(now, team, arrival.allowance);
         (is_late, arrival.class.priority, usage, arrival.due)
@@ -216,9 +220,10 @@
     /// left. [`Self::pop_ready`] must follow.
     pub fn end(&mut self, now: Time, started: Time, answer: Option<Answer>) {
         self.in_progress = self.in_progress.saturating_sub(1);
-        if answer.is_some() {
+        if answer.is_some_and(|a| a.is_kept) {
             let took = now.since(started);
-            self.mean_took = self.mean_took.mul_f64(1.0 - TOOK_WEIGHT) + took.mul_f64(TOOK_WEIGHT);
+            let slower = took.saturating_sub(self.least_took);
+            self.least_took = took.min(self.least_took + slower.mul_f64(SLOWER_WEIGHT));
         }
         self.limit.record_end(started, answer);
         self.advance(now);
@@ -235,6 +240,14 @@
         }
     }
 
+    /// Whether the limit is below the initial one, if that changed since the last
+    /// call.
+    pub fn take_change(&mut self) -> Option<bool> {
+        let is_limited = self.limit.value() < INITIAL_LIMIT;
+        let has_changed = std::mem::replace(&mut self.was_limited, is_limited) != is_limited;
+        has_changed.then_some(is_limited)
+    }
+
     /// Requests in progress.
     #[must_use]
     pub const fn in_progress(&self) -> u32 {
--- a/crates/routing/src/admission/limit.rs
+++ b/crates/routing/src/admission/limit.rs
@@ -28,6 +28,10 @@
 /// Share of the calls to one service that must show load.
 const LOADED_SHARE: f64 = 0.2;
 
+/// Share of calls that show load from which the limit grows slowly, and only
+/// while answers keep their objective.
+const NOTED_SHARE: f64 = 0.02;
+
 /// Share of answers that may miss their objective for other reasons than load.
 const MISSED_SHARE: f64 = 0.1;
 
@@ -39,6 +43,15 @@
 const MIN_CUT: f64 = 0.5;
 const MAX_CUT: f64 = 0.9;
 
+/// Reductions after which rejections must be fewer, by this factor. Otherwise the
+/// targets reject for another reason than their load, and a lower limit only
+/// withholds requests.
+const TRIAL_CUTS: u32 = 4;
+const TRIAL_FACTOR: f64 = 0.8;
+
+/// Time for which such rejections are not acted on.
+const DISTRUST_TIME: Duration = Duration::from_secs(5);
+
 /// Growth per window while the limit is reached: with loaded targets and
 /// without.
 const LOADED_GROWTH: f64 = 1.05;
@@ -75,13 +88,16 @@
 }
 
 impl Window {
-    /// Whether the targets of any service show load: the scarcest one limits
-    /// whole searches.
+    /// Highest share of calls to one service that show load: the scarcest one
+    /// limits whole searches.
+    fn loaded_share(&self) -> f64 {
+        let counts = self.calls.values().filter(|(n, _)| *n >= MIN_SAMPLES);
+        let shares = counts.map(|(calls, loaded)| f64::from(*loaded) / f64::from(*calls));
+        shares.fold(0.0, f64::max)
+    }
+
     fn is_loaded(&self) -> bool {
-        let shows_load = |(calls, loaded): &(u32, u32)| {
-            *calls >= MIN_SAMPLES && f64::from(*loaded) >= f64::from(*calls) * LOADED_SHARE
-        };
-        self.calls.values().any(shows_load)
+        self.loaded_share() >= LOADED_SHARE
     }
 
     fn is_missing(&self) -> bool {
@@ -89,6 +105,16 @@
     }
 }
 
+/// Reductions because of requests that fail early, until it shows whether they
+/// help.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    /// Limit before the first one.
+    value: f64,
+    loaded_share: f64,
+    cuts: u32,
+}
+
 /// Adaptive limit on requests in progress.
 #[derive(Debug)]
 pub struct Limit {
@@ -101,6 +127,9 @@
     cut_at: Time,
     /// Requests per second that ended in the last window; zero when unknown.
     end_rate: f64,
+    trial: Option<Trial>,
+    /// End of the [`DISTRUST_TIME`].
+    distrust_until: Time,
 }
 
 impl Default for Limit {
@@ -111,6 +140,8 @@
             last_at: Time::default(),
             cut_at: Time::default(),
             end_rate: 0.0,
+            trial: None,
+            distrust_until: Time::default(),
         }
     }
 }
@@ -203,29 +234,59 @@
         true
     }
 
+    fn cut(&mut self, now: Time, window: &Window, mean_share: f64) {
+        if mean_share < AIMED_SHARE {
+            let loaded_share = window.loaded_share();
+            let first = Trial {
+                value: self.value,
+                loaded_share,
+                cuts: 0,
+            };
+            let trial = self.trial.get_or_insert(first);
+            if loaded_share < trial.loaded_share * TRIAL_FACTOR {
+                *trial = first;
+            }
+            trial.cuts += 1;
+            if trial.cuts > TRIAL_CUTS {
+                self.value = trial.value;
+                self.trial = None;
+                self.distrust_until = now + DISTRUST_TIME;
+                return;
+            }
+        }
+        // At the same rate, the time to an answer is proportional to the number
+        // of requests in progress.
+        let factor = (AIMED_SHARE / mean_share).clamp(MIN_CUT, MAX_CUT);
+        let used = self.value.min(f64::from(window.peak));
+        self.value = (used * factor).max(MIN_LIMIT);
+        self.cut_at = now;
+    }
+
     fn adapt(&mut self, now: Time, window: &Window) {
         let is_loaded = window.is_loaded();
         let mean_share = window.share_sum / f64::from(window.answers.max(1));
         if is_loaded && window.is_missing() {
-            if window.answers >= MIN_SAMPLES {
-                // At the same rate, the time to an answer is proportional to the
-                // number of requests in progress.
-                let factor = (AIMED_SHARE / mean_share).clamp(MIN_CUT, MAX_CUT);
-                let used = self.value.min(f64::from(window.peak));
-                self.value = (used * factor).max(MIN_LIMIT);
-                self.cut_at = now;
+            let is_early = mean_share < AIMED_SHARE;
+            if window.answers >= MIN_SAMPLES && !(is_early && now < self.distrust_until) {
+                self.cut(now, window, mean_share);
+            }
+            if is_early && now < self.distrust_until {
+                self.value = self.value.max(f64::from(window.peak) * FREE_GROWTH);
             }
             return;
         }
+        self.trial = None;
         if !window.was_full {
             let grown = (self.value * UNUSED_GROWTH).min(INITIAL_LIMIT);
             self.value = self.value.max(grown);
             return;
         }
-        let growth = match (is_loaded, mean_share < AIMED_SHARE) {
-            (false, _) => FREE_GROWTH,
-            (true, true) => LOADED_GROWTH,
-            (true, false) => return,
+        let growth = if window.loaded_share() < NOTED_SHARE {
+            FREE_GROWTH
+        } else if !window.is_missing() && mean_share < AIMED_SHARE {
+            LOADED_GROWTH
+        } else {
+            return;
         };
         if window.answers > 0 {
             self.value = (self.value * growth).max(self.value + 1.0);
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -15,7 +15,7 @@
 const SERVICE_MS: u64 = 40;
 /// Requests per second that the targets complete.
 const CAPACITY: f64 = 500.0;
-/// Calls that the targets queue before they reject.
+/// Calls that the targets usually queue before they reject.
 const QUEUE: usize = 60;
 const OBJECTIVE: Duration = Duration::from_millis(200);
 /// Step of the clock.
@@ -64,6 +64,11 @@
     /// Counts by stream during the measured time.
     tallies: Vec<Tally>,
     has_controller: bool,
+    /// Calls rejected for another reason than load: each of this many; zero for
+    /// none.
+    reject_each: u32,
+    /// Calls that the targets queue before they reject.
+    max_queue: usize,
 }
 
 impl Model {
@@ -77,6 +82,8 @@
             queue: VecDeque::new(),
             tallies: vec![Tally::default(); streams],
             has_controller,
+            reject_each: 0,
+            max_queue: QUEUE,
         }
     }
 
@@ -124,10 +131,12 @@
     /// Sends the call of a started request; a full target rejects it.
     fn send(&mut self, now: Time, request: Running) {
         self.tallies[request.stream].started += 1;
-        if self.slots.len() < SLOTS {
+        let started: u32 = self.tallies.iter().map(|t| t.started).sum();
+        let is_faulty = self.reject_each > 0 && started.is_multiple_of(self.reject_each);
+        if !is_faulty && self.slots.len() < SLOTS {
             let done = now + Duration::from_millis(SERVICE_MS);
             self.slots.push((done, request));
-        } else if self.queue.len() < QUEUE {
+        } else if !is_faulty && self.queue.len() < self.max_queue {
             self.queue.push_back(request);
         } else {
             self.controller.record_call(&self.service, true);
@@ -203,8 +212,9 @@
 }
 
 /// Asserts what holds in any overload, and returns the counts by stream.
-fn play_overload(streams: &[Stream]) -> Vec<Tally> {
+fn play_overload(streams: &[Stream], max_queue: usize) -> Vec<Tally> {
     let mut model = Model::new(streams.len(), true);
+    model.max_queue = max_queue;
     let before = model.play(streams, 0, 3, false);
     for tally in &before {
         assert_eq!(
@@ -245,11 +255,14 @@
 
 #[test]
 fn arrive_keeps_other_teams_when_one_sends_six_times_its_rate() {
-    let tallies = play_overload(&[
-        stream("a", 1, 100.0, 600.0),
-        stream("b", 1, 100.0, 100.0),
-        stream("c", 1, 100.0, 100.0),
-    ]);
+    let tallies = play_overload(
+        &[
+            stream("a", 1, 100.0, 600.0),
+            stream("b", 1, 100.0, 100.0),
+            stream("c", 1, 100.0, 100.0),
+        ],
+        QUEUE,
+    );
     for tally in &tallies[1..] {
         assert!(kept_share(tally) >= 0.95, "{tally:?}");
     }
@@ -257,26 +270,44 @@
 
 #[test]
 fn arrive_keeps_urgent_requests_in_a_burst() {
-    let tallies = play_overload(&[
-        stream("a", 0, 100.0, 260.0),
-        stream("b", 1, 100.0, 260.0),
-        stream("c", 2, 150.0, 390.0),
-    ]);
+    let tallies = play_overload(
+        &[
+            stream("a", 0, 100.0, 260.0),
+            stream("b", 1, 100.0, 260.0),
+            stream("c", 2, 150.0, 390.0),
+        ],
+        QUEUE,
+    );
     assert!(kept_share(&tallies[0]) >= 0.95, "{:?}", tallies[0]);
 }
 
 #[test]
 fn arrive_keeps_urgent_requests_in_a_burst_with_one_team_far_above_its_rate() {
-    let tallies = play_overload(&[
-        stream("a", 0, 50.0, 130.0),
-        stream("b", 1, 50.0, 300.0 * 2.6),
-        stream("c", 1, 50.0, 130.0),
-        stream("d", 2, 150.0, 390.0),
-    ]);
+    let tallies = play_overload(
+        &[
+            stream("a", 0, 50.0, 130.0),
+            stream("b", 1, 50.0, 300.0 * 2.6),
+            stream("c", 1, 50.0, 130.0),
+            stream("d", 2, 150.0, 390.0),
+        ],
+        QUEUE,
+    );
     assert!(kept_share(&tallies[0]) >= 0.95, "{:?}", tallies[0]);
     assert!(kept_share(&tallies[2]) >= kept_share(&tallies[1]));
 }
 
+#[test]
+fn arrive_keeps_urgent_requests_at_targets_that_hardly_queue() {
+    // Their answers are never slow: only rejections tell of the overload.
+    let streams = [
+        stream("a", 0, 60.0, 156.0),
+        stream("b", 1, 100.0, 260.0),
+        stream("c", 2, 180.0, 468.0),
+    ];
+    let tallies = play_overload(&streams, 10);
+    assert!(kept_share(&tallies[0]) >= 0.8, "{:?}", tallies[0]);
+}
+
 #[test]
 fn model_without_admission_misses_objectives() {
     // Guards the other tests: the model must punish overload.
@@ -287,6 +318,18 @@
     assert!(f64::from(tallies[0].kept) <= CAPACITY * 8.0);
 }
 
+#[test]
+fn arrive_with_faulty_rejections_refuses_few() {
+    // A lower limit does not make targets accept calls that they reject for
+    // another reason than load.
+    let streams = [stream("a", 1, 350.0, 350.0)];
+    let mut model = Model::new(1, true);
+    model.reject_each = 3;
+    let tally = model.play(&streams, 0, 20, false)[0];
+    println!("{tally:?} limit {:.0}", model.controller.limit());
+    assert!(tally.refused * 20 < tally.arrived, "{tally:?}");
+}
+
 #[test]
 fn retry_after_is_spread() {
     let times: Vec<_> = (0..10_000).step_by(7).map(retry_after).collect();
