Admission: no channel for requests that start at once

Cause: each admission allocated a channel, also without a wait. Change: it is created when the request waits. Result: tests admission, keys and requests of platform pass; not timed.

--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use futures::future::OptionFuture;
 use heatherrun_kernel::routes::{Name, Team};
 use heatherrun_kernel::{Clock, Time};
 use heatherrun_ports::http_reply::Reply;
@@ -231,7 +232,7 @@
                 };
                 tokio::select! {
                     biased;
-                    _ = woken => {}
+                    Some(_) = OptionFuture::from(woken) => {}
                     () = state.clock.sleep_until(until) => {}
                     () = self.stop_ended() => {}
                 }
@@ -250,7 +251,7 @@
         Ok(Some(place))
     }
 
-    fn decide(&self, gate: &Gate, now: Time) -> (Decision, oneshot::Receiver<()>) {
+    fn decide(&self, gate: &Gate, now: Time) -> (Decision, Option<oneshot::Receiver<()>>) {
         let share = self.state.shares.load().total_share;
         let team_rate = self.team().and_then(|t| t.per_sec);
         let arrival = Arrival {
@@ -263,8 +264,13 @@
             due: self.due(),
             end: self.plan.end,
         };
-        let (waker, woken) = oneshot::channel();
-        let decision = gate.apply(now, |c| c.arrive(now, arrival, || waker));
+        let mut woken = None;
+        let waker = || {
+            let (waker, receiver) = oneshot::channel();
+            woken = Some(receiver);
+            waker
+        };
+        let decision = gate.apply(now, |c| c.arrive(now, arrival, waker));
         (decision, woken)
     }
 
