--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,6 +40,7 @@
 use crate::log_throttle::LogThrottle;
 use crate::metrics::Metrics;
 use crate::quota::Quota;
+use crate::serve::Destinations;
 
 /// Time after its last read of the store for which this node counts as a
 /// reader.
@@ -119,6 +120,8 @@
     pub target_client: Client,
     /// Numbers for the choice among near-equal targets.
     pub draws: Draws,
+    /// Admission to the destinations of requests.
+    pub(crate) destinations: Destinations,
     /// Crash-causing requests.
     pub crash_tracker: CrashTracker,
     /// Metrics of this node.
@@ -173,6 +176,7 @@
             route_stats: RouteStats::default(),
             target_client: Client::default(),
             draws: Draws::new(seed),
+            destinations: Destinations::default(),
             crash_tracker,
             metrics: Metrics::default(),
             log_throttle: LogThrottle::default(),
