Roll-outs: order, state, evidence, verdict and decider

Change: kernel types and the platform's decoding, pure decisions in routing/rollout, the decider under a lease, reports to it, and the choice of targets by version.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -137,6 +137,7 @@
             && target.accepts_calls()
             && target.quiet_until(now).is_none()
             && !state.out_domains.load().contains(&target.entry.domain)
+            && !state.rollouts.is_refused(now, target)
     };
     let result = state
         .target_client
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -81,11 +81,13 @@
 /// Replies to a message of another node. A message that cannot be decoded gets
 /// an empty reply.
 #[must_use]
-pub fn handle(_state: &Arc<State>, message: &[u8]) -> Vec<u8> {
+pub fn handle(state: &Arc<State>, message: &[u8]) -> Vec<u8> {
     let reply = match PeerRequest::decode(message) {
-        Ok(_request) => PeerReply {
+        Ok(request) => PeerReply {
             quota: None,
-            rollout: None,
+            rollout: request
+                .rollout
+                .map(|report| state.receive_rollout(&request.node, report)),
         },
         Err(e) => {
             log::warn!(reason:% = e; "exchange.malformed");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,11 +9,14 @@
 use heatherrun_ports::http_server::{self, Limits, Phase};
 use heatherrun_ports::listen::{bind, parse};
 use heatherrun_routing::extra_calls::ExtraCallLimit;
+use heatherrun_routing::rollout;
 use heatherrun_schema::v1::{GatewaySettings, NodeSettings};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::rollout::decider::Decider;
+use crate::rollout::report;
 use crate::roster::RosterWriter;
 use crate::state::{Deployment, State};
 use crate::store_sync::StoreSync;
@@ -191,6 +194,14 @@
         supervise::spawn("store-sync", move || {
             StoreSync::new(of(&own), store.clone()).run()
         });
+        if state.deployment.load().rollout_limits.is_some() {
+            let own = of(state);
+            supervise::spawn("rollout-report", move || report::run(of(&own)));
+            let (own, store) = (of(state), platform.clone());
+            supervise::spawn("rollout-decider", move || {
+                Decider::new(of(&own), store.clone()).run()
+            });
+        }
         let (own, store) = (of(state), platform.clone());
         supervise::spawn("roster", move || {
             RosterWriter::new(of(&own), store.clone()).run()
@@ -292,8 +303,13 @@
         slack: settings.extra_slack,
         window: Duration::from_secs(u64::from(settings.extra_secs)),
     };
+    let rollout_limits = settings.rollout.as_ref().map(|rollout| rollout::Limits {
+        share: rollout.expose_share,
+        slack: rollout.expose_slack,
+    });
     Ok(Deployment {
         regions,
+        rollout_limits,
         extra_call_limit,
         directory_ttl: Duration::from_secs(u64::from(settings.keep_secs)),
         seeds,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peer_clients;
 pub mod relay;
 pub mod reply;
+pub mod rollout;
 pub mod roster;
 pub mod serve;
 pub mod state;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -36,6 +36,7 @@
 use crate::forward::message::{ForwardReply, ForwardedRequest, Terms};
 use crate::log_throttle::LineKind;
 use crate::reply;
+use crate::rollout;
 use crate::state::State;
 
 /// Time for which calls that are no longer needed may still run. Closing a
@@ -337,12 +338,20 @@
             target.pacer.record_call(now, pace);
         }
         let max_connections = usize::from(self.max_calls(target));
-        calls::send_call(
+        let observer = rollout::observe(&self.state, &self.route.name, target);
+        let call = calls::send_call(
             Arc::clone(&self.state),
             Arc::clone(&self.outgoing),
             call_to_send,
             max_connections,
-        )
+        );
+        async move {
+            let ended = call.await;
+            if let Some(observer) = observer {
+                observer.record_end(&ended);
+            }
+            ended
+        }
     }
 
     /// Maximum number of concurrent calls from this node to one target.
@@ -403,12 +412,25 @@
         tried: &[Name],
         constraints: &ChoiceConstraints<'_>,
     ) -> TargetChoice {
-        let targets = services.get(&self.shards[shard]).map_or(&[][..], |t| t);
-        match choice::choose(now, targets, tried, constraints) {
-            Choice::Target(target) => TargetChoice::Target(Arc::clone(target)),
-            Choice::AtCapacity => TargetChoice::AtCapacity,
-            Choice::Held(until, hold) => TargetChoice::Held(until, hold),
-            Choice::NoTarget => TargetChoice::NoTarget,
+        let service = &self.shards[shard];
+        let targets = services.get(service).map_or(&[][..], |t| t);
+        let choose =
+            |targets: &[Arc<Target>]| match choice::choose(now, targets, tried, constraints) {
+                Choice::Target(target) => TargetChoice::Target(Arc::clone(target)),
+                Choice::AtCapacity => TargetChoice::AtCapacity,
+                Choice::Held(until, hold) => TargetChoice::Held(until, hold),
+                Choice::NoTarget => TargetChoice::NoTarget,
+            };
+        let Some(followed) = self.state.rollouts.followed(service) else {
+            return choose(targets);
+        };
+        let is_usable = |target: &Target| choice::may_serve(target, constraints);
+        let is_fresh = self.state.rollouts.is_fresh(now);
+        let [first, second] = followed.group(now, targets, is_usable, tried.is_empty(), is_fresh);
+        match choose(&first) {
+            TargetChoice::Target(target) => TargetChoice::Target(target),
+            _ if !second.is_empty() => choose(&second),
+            none => none,
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
 use heatherrun_routing::fleet::{Fleet, Services};
 use heatherrun_routing::links::Links;
 use heatherrun_routing::members::{Members, Place, Report, hash_nodes, place};
+use heatherrun_routing::rollout::Limits;
 use heatherrun_routing::route_stats::RouteStats;
 use heatherrun_routing::shares::Shares;
 use heatherrun_routing::table::RouteTable;
@@ -38,6 +39,7 @@
 use crate::forward::Forwarder;
 use crate::log_throttle::LogThrottle;
 use crate::metrics::Metrics;
+use crate::rollout::Rollouts;
 
 /// Time after its last read of the store for which this node counts as a
 /// reader.
@@ -54,6 +56,8 @@
     /// saves them lookups at nodes that are gone; callers notice that a listed
     /// node left by its closed port.
     pub directory_ttl: Duration,
+    /// Limits of roll-outs; none where there are no roll-outs.
+    pub rollout_limits: Option<Limits>,
     /// Nodes to request the store's changes from before others are known.
     pub seeds: Vec<SocketAddr>,
 }
@@ -129,6 +133,8 @@
     link_changes: watch::Sender<()>,
     /// This node's shares of limits that apply to all nodes together.
     pub shares: ArcSwap<Shares>,
+    /// Roll-outs of versions.
+    pub rollouts: Rollouts,
     /// What this node knows from the store.
     store_view: Mutex<StoreView>,
 }
@@ -144,6 +150,7 @@
         site: &'static Site,
     ) -> (Arc<Self>, Receiver<Suspicion>) {
         let (crash_tracker, suspicions) = CrashTracker::new(xxh3_64(own_entry.name.as_bytes()));
+        let rollouts = Rollouts::new(&own_entry, deployment.rollout_limits);
         let state = Arc::new(Self {
             own_entry,
             deployment: ArcSwap::from_pointee(deployment),
@@ -168,6 +175,7 @@
             forwarder: Forwarder::default(),
             link_changes: watch::Sender::new(()),
             shares: ArcSwap::default(),
+            rollouts,
             store_view: Mutex::default(),
         });
         (state, suspicions)
--- a/crates/gateway/src/state/apply.rs
+++ b/crates/gateway/src/state/apply.rs
@@ -41,6 +41,7 @@
         // Ignored changes say nothing about the age of what this node has.
         if position >= old_position && store_view.feed.position() == position {
             store_view.fresh_at = store_view.fresh_at.max(fresh_at);
+            self.rollouts.record_fresh(fresh_at);
         }
         let mut targets_changed = store_view.fleet.remove_lapsed(now);
         if applied.began_era {
@@ -54,6 +55,7 @@
             // Entries written since the copy are missing until they are written
             // again, as after an outage.
             store_view.fleet.outage_ended(now);
+            self.rollouts.record_new_era();
         }
         for item in &applied.changed {
             if self.is_doubtful(&store_view, now, item, applied.began_era) {
@@ -120,6 +122,16 @@
             apply_roster(store_view, item);
             return false;
         }
+        let value = item.value.as_deref();
+        if item.key.as_ref() == self.site.decider_key {
+            self.rollouts.set_decider(value);
+            return false;
+        }
+        if let Some(service) = item.key.strip_prefix(self.site.rollout_prefix) {
+            self.rollouts
+                .apply_state(now, service, value, item.revision);
+            return false;
+        }
         let store_item = match (self.site.parse_item)(&item.key, item.value.as_deref()) {
             Ok(store_item) => store_item,
             Err(error) => {
@@ -150,6 +162,17 @@
                 self.apply_config(now, *config, revision);
                 false
             }
+            StoreItem::Rollout { service, order } => {
+                let version = order.as_ref().map(|o| &*o.version);
+                log::info!(service = &*service, version, revision; "rollout.order");
+                self.rollouts.set_order(now, &service, order, revision);
+                false
+            }
+            StoreItem::RolloutStatus { service, status } => {
+                let revision = if value.is_some() { revision } else { 0 };
+                self.rollouts.set_status(&service, status, revision);
+                false
+            }
             StoreItem::Other => false,
         }
     }
--- a/crates/kernel/src/routes.rs
+++ b/crates/kernel/src/routes.rs
@@ -179,6 +179,37 @@
     pub born: u64,
     /// Sequence number of the report within the incarnation.
     pub report_seq: u64,
+    /// Version of the service that it runs; empty when it names none.
+    pub version: Name,
+}
+
+/// An operator's order to move a service to another version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutOrder {
+    /// Version to move to.
+    pub version: Name,
+    /// Time from the order to its deadline.
+    pub duration: Duration,
+}
+
+/// Progress of a roll-out as operators see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutOutcome {
+    /// The version is under test.
+    Running,
+    /// All calls go to the version.
+    Succeeded,
+    /// The version was judged bad and receives no calls.
+    RolledBack,
+}
+
+/// What the tier publishes of the roll-out of one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutStatus {
+    /// Progress.
+    pub outcome: RolloutOutcome,
+    /// Version that the order named.
+    pub version: Name,
 }
 
 /// What a node tells others of itself.
@@ -213,6 +244,21 @@
     DomainOut(Name),
     /// Operators returned a failure domain to service.
     DomainBack(Name),
+    /// The order to roll out a version of a service; none when it was
+    /// withdrawn.
+    Rollout {
+        /// Service to move.
+        service: Name,
+        /// The order.
+        order: Option<RolloutOrder>,
+    },
+    /// The published status of a roll-out, or its deletion.
+    RolloutStatus {
+        /// Service that it is about.
+        service: Name,
+        /// The status.
+        status: Option<RolloutStatus>,
+    },
     /// An item that the tier does not use.
     Other,
 }
--- a/crates/kernel/src/site.rs
+++ b/crates/kernel/src/site.rs
@@ -6,7 +6,7 @@
 
 use http::{HeaderMap, StatusCode};
 
-use crate::routes::StoreItem;
+use crate::routes::{RolloutStatus, StoreItem};
 
 /// Values from the headers of a caller's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,6 +80,10 @@
     pub prefix: &'static str,
     /// Prefix of the keys under which nodes register.
     pub node_prefix: &'static str,
+    /// Prefix of the keys of the states of roll-outs.
+    pub rollout_prefix: &'static str,
+    /// Key of the node that decides on roll-outs.
+    pub decider_key: &'static str,
     /// HTTP path of the readiness check.
     pub ready_path: &'static str,
     /// HTTP path of the directory.
@@ -87,6 +91,8 @@
     /// Parses one item of the store from its key and value; no value means that
     /// the item was deleted.
     pub parse_item: fn(&str, Option<&[u8]>) -> Result<StoreItem, BadItem>,
+    /// Formats the status of a service's roll-out: its key and value.
+    pub encode_rollout: fn(&str, &RolloutStatus) -> (String, Vec<u8>),
     /// Parses the headers of a caller's request.
     pub parse_caller: fn(&HeaderMap) -> CallerHead<'_>,
     /// Whether the tier sets this header of a call itself, so that the caller's
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod merge;
 pub mod pacer;
 pub mod plan;
+pub mod rollout;
 pub mod route_stats;
 pub mod scatter;
 pub mod shares;
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -40,6 +40,7 @@
         warmup: Duration::ZERO,
         born: 1,
         report_seq: 1,
+        version: Name::default(),
     }
 }
 
