--- a/crates/gateway/src/rollout/decider.rs
+++ b/crates/gateway/src/rollout/decider.rs
@@ -27,6 +27,10 @@
 /// Interval between renewals; two may fail before the lease ends.
 const RENEW_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Interval at which the entry of the node that decides is read. The feed misses
+/// the end of an entry that was written and expired between two reads.
+const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Maximum number of steps of one service in one tick: a state, its status, and
 /// the first state of the next order.
 const STEPS_PER_TICK: usize = 3;
@@ -47,6 +51,8 @@
     state: Arc<State>,
     platform: Platform,
     held: Option<Held>,
+    /// When the entry of the node that decides was last read.
+    checked_at: Time,
 }
 
 impl Decider {
@@ -57,6 +63,7 @@
             state,
             platform,
             held: None,
+            checked_at: Time(0),
         }
     }
 
@@ -145,6 +152,9 @@
             }
         } else if self.state.rollouts.decider().is_none() {
             self.take(now).await?;
+        } else if now.since(self.checked_at) >= CHECK_INTERVAL {
+            self.checked_at = now;
+            self.read_decider().await?;
         }
         let is_held = self.may_write();
         if self.held.is_some() && !is_held {
--- a/crates/routing/src/rollout/verdict.rs
+++ b/crates/routing/src/rollout/verdict.rs
@@ -31,9 +31,9 @@
 const MIN_NEW: u64 = 6;
 const MIN_OLD: u64 = 20;
 
-/// Minimum number of ticks with answers for a comparison of latencies: a pause
-/// affects at most two.
-const MIN_TICKS: usize = 3;
+/// Minimum number of ticks with slow answers of a slow version: a pause affects
+/// at most two.
+const MIN_SLOW_TICKS: usize = 3;
 
 /// Distance of the medians, in buckets, from which the version is slow: 2.8
 /// times the latency.
@@ -88,11 +88,7 @@
     if fails(&new.total, &old.total) || fails(&recent.0, &recent.1) {
         return Some(Fault::Fails);
     }
-    let ticks = new.ticks.iter().filter(|t| t.timed() > 0).count();
-    if ticks < MIN_TICKS {
-        return None;
-    }
-    if is_slow(&new.total, &old.total) || is_slow(&recent.0, &recent.1) {
+    if is_slow(new, &new.total, &old.total) || is_slow(new, &recent.0, &recent.1) {
         return Some(Fault::Slow);
     }
     is_partly_slow(new, &recent.0, &recent.1).then_some(Fault::PartlySlow)
@@ -113,12 +109,21 @@
     new.failures >= MIN_FAILURES && is_unlikely(new.failures, new.answers(), usual)
 }
 
-fn is_slow(new: &Counts, old: &Counts) -> bool {
+fn is_slow(series: &Series, new: &Counts, old: &Counts) -> bool {
     if new.timed() < MIN_NEW || old.timed() < MIN_OLD {
         return false;
     }
-    let medians = new.median().zip(old.median());
-    medians.is_some_and(|(new, old)| new >= old + SLOW_MEDIAN)
+    let Some((new, old)) = new.median().zip(old.median()) else {
+        return false;
+    };
+    let bound = old + SLOW_MEDIAN;
+    new >= bound && slow_ticks(series, bound) >= MIN_SLOW_TICKS
+}
+
+/// Number of recent ticks with an answer in this bucket or a slower one.
+fn slow_ticks(series: &Series, bound: usize) -> usize {
+    let ticks = series.ticks.iter();
+    ticks.filter(|tick| tick.from_bucket(bound) > 0).count()
 }
 
 fn is_partly_slow(series: &Series, new: &Counts, old: &Counts) -> bool {
@@ -128,9 +133,8 @@
     let bound = median + SLOW_ANSWER;
     let slow = new.from_bucket(bound);
     let usual = rate(old.from_bucket(bound), old.timed()).max(USUAL_SLOW);
-    let slow_ticks = series.ticks.iter().filter(|t| t.from_bucket(bound) > 0);
     slow >= MIN_SLOW
-        && slow_ticks.count() * 100 >= RECENT_TICKS * SLOW_TICKS_PERCENT
+        && slow_ticks(series, bound) * 100 >= RECENT_TICKS * SLOW_TICKS_PERCENT
         && is_unlikely(slow, new.timed(), usual)
 }
 
