--- a/crates/gateway/src/rollout/decider.rs
+++ b/crates/gateway/src/rollout/decider.rs
@@ -20,9 +20,9 @@
 /// Lifetime of the lease of a decider that died.
 const LEASE_TTL: Duration = Duration::from_secs(3);
 
-/// Time after the renewal was sent in which this node may write. The rest of the
-/// lease is left for a write that is slow to arrive.
-const WRITE_TIME: Duration = Duration::from_millis(2_500);
+/// Time after the renewal was sent in which this node may write. A call to the
+/// store takes at most the rest of the lease.
+const WRITE_TIME: Duration = Duration::from_secs(2);
 
 /// Interval between renewals; two may fail before the lease ends.
 const RENEW_INTERVAL: Duration = Duration::from_millis(800);
@@ -72,7 +72,7 @@
         loop {
             tokio::time::sleep(TICK).await;
             if let Err(error) = self.decide().await {
-                log::info!(reason:% = error; "rollout.not-written");
+                log::info!(reason:% = error; "rollout.lease-unknown");
             }
         }
     }
@@ -90,19 +90,27 @@
             return Ok(());
         }
         for service in views.keys() {
-            for _ in 0..STEPS_PER_TICK {
-                let step = self.next_step(service, &limits);
-                match step {
-                    Step::None => break,
-                    Step::Write(state, reason) => self.write(service, state, reason).await?,
-                    Step::Publish(status) => self.publish(service, status).await?,
-                }
+            // A service whose write fails must not keep the others waiting.
+            if let Err(error) = self.advance(service, &limits).await {
+                log::info!(service = &**service, reason:% = error; "rollout.not-written");
             }
         }
         lock(&self.state.rollouts.inbox).end_tick();
         Ok(())
     }
 
+    /// Takes the steps of one service that are due.
+    async fn advance(&self, service: &Name, limits: &Limits) -> Result<(), StoreError> {
+        for _ in 0..STEPS_PER_TICK {
+            match self.next_step(service, limits) {
+                Step::None => break,
+                Step::Write(state, reason) => self.write(service, state, reason).await?,
+                Step::Publish(status) => self.publish(service, status).await?,
+            }
+        }
+        Ok(())
+    }
+
     fn next_step(&self, service: &Name, limits: &Limits) -> Step {
         let state = &self.state;
         let now = state.clock.now();
--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -37,6 +37,10 @@
 /// before a restart, so that its first call is not rounded up.
 const RESTART_TIME: Time = Time::from_millis(5_000);
 
+/// Number of serving nodes that the slack is divided among for their first
+/// calls; a tier has at most about as many.
+const MAX_SERVING: f64 = 25.0;
+
 /// The node that decides on roll-outs, as it registers in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeciderEntry {
@@ -288,13 +292,16 @@
         view.state = Some(state);
     }
 
-    /// Fraction of a call that this node may send the version at once.
+    /// Fraction of a call that this node may send the version at once. All nodes
+    /// together take at most half of the slack for it.
     fn credit(&self, now: Time, service: &str) -> f64 {
         if now < RESTART_TIME {
             return 0.0;
         }
         let hash = xxh3_64(format!("{}/{service}", self.own.name).as_bytes());
-        f64::from(u32::try_from(hash >> 32).unwrap_or_default()) / f64::from(u32::MAX)
+        let part = f64::from(u32::try_from(hash >> 32).unwrap_or_default()) / f64::from(u32::MAX);
+        let slack = self.limits.map_or(0.0, |limits| f64::from(limits.slack));
+        part * (slack / 2.0 / MAX_SERVING).min(1.0)
     }
 
     fn update(&self, service: &Name, change: impl FnOnce(&mut ServiceView)) {
--- a/crates/gateway/src/rollout/observer.rs
+++ b/crates/gateway/src/rollout/observer.rs
@@ -60,7 +60,9 @@
     attempt: Arc<Attempt>,
     route: Name,
     is_new: bool,
-    is_far: bool,
+    /// Whether the latency is comparable: the target is warm, and not in another
+    /// region.
+    is_timed: bool,
     sent_at: Time,
     is_ended: bool,
 }
@@ -75,13 +77,14 @@
     if is_new {
         attempt.exposure.record_new();
     }
+    let now = state.clock.now();
     let observer = CallObserver {
         state: Arc::clone(state),
         attempt,
         route: Name::clone(route),
         is_new,
-        is_far: target.distance == Distance::Far,
-        sent_at: state.clock.now(),
+        is_timed: target.distance != Distance::Far && !target.is_cold(now),
+        sent_at: now,
         is_ended: false,
     };
     observer.count(|counts| counts.calls += 1);
@@ -115,7 +118,7 @@
     }
 
     fn record_latency(&self) {
-        if !self.is_far {
+        if self.is_timed {
             let latency = self.state.clock.now().since(self.sent_at);
             self.count(|counts| counts.latencies[bucket(latency)] += 1);
         }
