--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,7 @@
     limited_calls: IntCounterVec,
     links_down: IntGauge,
     forwards: IntCounterVec,
+    rollout_calls: IntCounterVec,
     /// Configured names that have series of their own.
     label_names: Mutex<HashSet<Name>>,
 }
@@ -91,9 +92,14 @@
                 "requests forwarded to other nodes, by end",
                 &["end"],
             ),
+            rollout_calls: counter(
+                "heatherrun_rollout_calls_total",
+                "calls during a roll-out, by service and version: new or old",
+                &["service", "version"],
+            ),
             label_names: Mutex::default(),
         };
-        let collectors: [Box<dyn Collector>; 7] = [
+        let collectors: [Box<dyn Collector>; 8] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.answer_seconds.clone()),
             Box::new(metrics.calls.clone()),
@@ -101,6 +107,7 @@
             Box::new(metrics.limited_calls.clone()),
             Box::new(metrics.links_down.clone()),
             Box::new(metrics.forwards.clone()),
+            Box::new(metrics.rollout_calls.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).expect(valid);
@@ -166,6 +173,13 @@
         self.forwards.with_label_values(&[end]).inc();
     }
 
+    /// Records a call that is sent during a roll-out of its service.
+    pub fn record_rollout_call(&self, service: &Name, is_new: bool) {
+        let version = if is_new { "new" } else { "old" };
+        let labels = [self.label(service), version];
+        self.rollout_calls.with_label_values(&labels).inc();
+    }
+
     /// Label value for `name`: the name itself, or the shared one once
     /// [`MAX_LABEL_NAMES`] others have series.
     fn label<'a>(&self, name: &'a Name) -> &'a str {
--- a/crates/gateway/src/rollout/decider.rs
+++ b/crates/gateway/src/rollout/decider.rs
@@ -14,9 +14,15 @@
 use super::{DeciderEntry, ServiceView, lock};
 use crate::state::State;
 
-/// Interval between decisions; it is the length of a tick of the evidence.
+/// Interval between decisions.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Length of a tick of the evidence, which a pause of a target may exceed little.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Delay before the next decision while the store does not answer.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// Lifetime of the lease of a decider that died.
 const LEASE_TTL: Duration = Duration::from_secs(3);
 
@@ -53,6 +59,8 @@
     held: Option<Held>,
     /// When the entry of the node that decides was last read.
     checked_at: Time,
+    /// Start of the present tick of the evidence.
+    tick_began: Time,
 }
 
 impl Decider {
@@ -64,15 +72,17 @@
             platform,
             held: None,
             checked_at: Time(0),
+            tick_began: Time(0),
         }
     }
 
     /// Decides while there is something to decide; never returns.
     pub async fn run(mut self) {
         loop {
-            tokio::time::sleep(TICK).await;
+            tokio::time::sleep(INTERVAL).await;
             if let Err(error) = self.decide().await {
                 log::info!(reason:% = error; "rollout.lease-unknown");
+                tokio::time::sleep(RETRY_DELAY).await;
             }
         }
     }
@@ -95,7 +105,10 @@
                 log::info!(service = &**service, reason:% = error; "rollout.not-written");
             }
         }
-        lock(&self.state.rollouts.inbox).end_tick();
+        if now.since(self.tick_began) >= TICK {
+            self.tick_began = now;
+            lock(&self.state.rollouts.inbox).end_tick();
+        }
         Ok(())
     }
 
--- a/crates/gateway/src/rollout/observer.rs
+++ b/crates/gateway/src/rollout/observer.rs
@@ -77,6 +77,9 @@
     if is_new {
         attempt.exposure.record_new();
     }
+    state
+        .metrics
+        .record_rollout_call(&target.entry.service, is_new);
     let now = state.clock.now();
     let observer = CallObserver {
         state: Arc::clone(state),
--- a/crates/gateway/src/rollout/report.rs
+++ b/crates/gateway/src/rollout/report.rs
@@ -1,11 +1,16 @@
 //! Sends the counts of this node to the node that decides, and follows the
 //! states that it returns. They arrive sooner than through the store.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::Name;
 use heatherrun_kernel::time::micros;
+use heatherrun_routing::rollout::policy::Mode;
 use heatherrun_schema::v1::{
     PeerRequest, RolloutReceipt, RolloutReport, VersionSample, VersionState, VersionUse,
 };
@@ -13,12 +18,14 @@
 use super::{Followed, lock};
 use crate::exchange::Exchange;
 use crate::state::State;
-use std::sync::atomic::Ordering;
 
-/// Interval between reports. Two of them fit into the decider's shortest
-/// judgement of a change.
+/// Interval between reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval between reports while the version receives all calls: a bad one must
+/// be found before it exceeds its share.
+const MOVE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Maximum wait for the decider's reply; after it the decider is not asked for a
 /// while.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(800);
@@ -28,7 +35,14 @@
     let exchange = Exchange::default();
     let mut known = HashMap::new();
     loop {
-        tokio::time::sleep(REPORT_INTERVAL).await;
+        let followed = state.rollouts.all_followed();
+        let is_moving = followed.values().any(|f| f.policy.mode == Mode::Move);
+        let delay = if is_moving {
+            MOVE_INTERVAL
+        } else {
+            REPORT_INTERVAL
+        };
+        tokio::time::sleep(delay).await;
         let Some(report) = state.rollout_report(&mut known) else {
             continue;
         };
