--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -15,7 +15,7 @@
 use crate::nearest::nearest;
 
 /// Keys that may be left out, each after the name of its schema message.
-const OPTIONAL_KEYS: [(&str, &str); 17] = [
+const OPTIONAL_KEYS: [(&str, &str); 19] = [
     ("NodeSettings", "log"),
     ("NodeSettings", "metrics"),
     ("NodeSettings", "address_secs"),
@@ -23,6 +23,8 @@
     ("NodeSettings", "gateway"),
     ("GatewaySettings", "directory"),
     ("GatewaySettings", "scrape"),
+    ("GatewaySettings", "rollout"),
+    ("GatewaySettings", "teams"),
     ("FailureDomain", "out"),
     ("Service", "sharded"),
     ("Service", "pooled"),
--- a/crates/settings/tests/examples.rs
+++ b/crates/settings/tests/examples.rs
@@ -80,3 +80,26 @@
 fn check_node_example() {
     assert!(matches!(read_example("node.jsonc"), Settings::Node(_)));
 }
+
+/// Guards against a node that does not start where the platform leaves these
+/// sections out of its settings, and against one that ignores them.
+#[test]
+fn read_node_with_and_without_rollout_limits() {
+    let text = r#"{
+        "name": "n", "domain": "a", "callers": "127.0.0.1:1", "peers": "127.0.0.1:2",
+        "operators": "127.0.0.1:3", "platform": "127.0.0.1:4",
+        "gateway": {
+            "site": "platform", "region": "near", "ready": "127.0.0.1:5",
+            "domains": [{"name": "a", "region": "near"}], "seeds": [], "extra_share": 0.2,
+            "extra_slack": 56, "extra_secs": 10, "cpu_share": 0.25, "cpu_speed": 1.0,
+            "keep_secs": 5, ROLLOUT
+        },
+    }"#;
+    let rollout = r#""rollout": {"expose_share": 0.1, "expose_slack": 50, "rollback_ms": 5000},"#;
+    for (section, expected) in [("", None), (rollout, Some(50))] {
+        let text = text.replace("ROLLOUT", section);
+        let node = read_node("node.jsonc", &text).unwrap().value;
+        let limits = node.gateway.unwrap().rollout;
+        assert_eq!(limits.map(|l| l.expose_slack), expected);
+    }
+}
