--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -95,7 +95,9 @@
             quota: request
                 .quota
                 .map(|quota| state.quota.handle(state, &request.node, &quota)),
-            rollout: None,
+            rollout: request
+                .rollout
+                .map(|report| state.receive_rollout(&request.node, report)),
         },
         Err(e) => {
             log::warn!(reason:% = e; "exchange.malformed");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod quota;
 pub mod relay;
 pub mod reply;
+pub mod rollout;
 pub mod roster;
 pub mod serve;
 pub mod state;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -73,6 +73,7 @@
     quota: IntCounterVec,
     admissions: IntCounterVec,
     waiting: IntGaugeVec,
+    rollout_calls: IntCounterVec,
     /// Configured names that have series of their own.
     label_names: Mutex<HashSet<Name>>,
 }
@@ -147,9 +148,14 @@
                 &["priority"],
             )
             .expect(valid),
+            rollout_calls: counter(
+                "heatherrun_rollout_calls_total",
+                "calls during a roll-out, by service and version: new or old",
+                &["service", "version"],
+            ),
             label_names: Mutex::default(),
         };
-        let collectors: [Box<dyn Collector>; 11] = [
+        let collectors: [Box<dyn Collector>; 12] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.answer_seconds.clone()),
             Box::new(metrics.calls.clone()),
@@ -161,6 +167,7 @@
             Box::new(metrics.quota.clone()),
             Box::new(metrics.admissions.clone()),
             Box::new(metrics.waiting.clone()),
+            Box::new(metrics.rollout_calls.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).expect(valid);
@@ -250,6 +257,13 @@
         waiting.add(change);
     }
 
+    /// Records a call that is sent during a roll-out of its service.
+    pub fn record_rollout_call(&self, service: &Name, is_new: bool) {
+        let version = if is_new { "new" } else { "old" };
+        let labels = [self.label(service), version];
+        self.rollout_calls.with_label_values(&labels).inc();
+    }
+
     /// Label value for `name`: the name itself, or the shared one once
     /// [`MAX_LABEL_NAMES`] others have series.
     fn label<'a>(&self, name: &'a Name) -> &'a str {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
 use heatherrun_routing::links::Links;
 use heatherrun_routing::members::{Members, Place, Report, hash_nodes, place};
 use heatherrun_routing::pace::Draws;
+use heatherrun_routing::rollout::Limits;
 use heatherrun_routing::route_stats::RouteStats;
 use heatherrun_routing::shares::Shares;
 use heatherrun_routing::table::RouteTable;
@@ -40,6 +41,7 @@
 use crate::log_throttle::LogThrottle;
 use crate::metrics::Metrics;
 use crate::quota::Quota;
+use crate::rollout::Rollouts;
 use crate::serve::Destinations;
 
 /// Time after its last read of the store for which this node counts as a
@@ -60,6 +62,8 @@
     /// Age of this node's view of the store from which requests that need a key
     /// are refused; none if they never are.
     pub revoke_time: Option<Duration>,
+    /// Limits of roll-outs; none where there are no roll-outs.
+    pub rollout_limits: Option<Limits>,
     /// Nodes to request the store's changes from before others are known.
     pub seeds: Vec<SocketAddr>,
 }
@@ -143,6 +147,8 @@
     pub shares: ArcSwap<Shares>,
     /// Quotas of teams.
     pub quota: Quota,
+    /// Roll-outs of versions.
+    pub rollouts: Rollouts,
     /// What this node knows from the store.
     store_view: Mutex<StoreView>,
 }
@@ -159,6 +165,7 @@
     ) -> (Arc<Self>, Receiver<Suspicion>) {
         let seed = xxh3_64(own_entry.name.as_bytes());
         let (crash_tracker, suspicions) = CrashTracker::new(seed);
+        let rollouts = Rollouts::new(&own_entry, deployment.rollout_limits);
         let state = Arc::new(Self {
             own_entry,
             deployment: ArcSwap::from_pointee(deployment),
@@ -187,6 +194,7 @@
             link_changes: watch::Sender::new(()),
             shares: ArcSwap::default(),
             quota: Quota::default(),
+            rollouts,
             store_view: Mutex::default(),
         });
         (state, suspicions)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod quota;
 pub mod ramp;
 pub mod refusals;
+pub mod rollout;
 pub mod route_stats;
 pub mod scatter;
 pub mod shares;
--- a/crates/settings/tests/examples.rs
+++ b/crates/settings/tests/examples.rs
@@ -82,8 +82,8 @@
 }
 
 /// Renders the settings template as the platform does, with the same value for
-/// most of its fields.
-fn render_template(has_teams: bool) -> String {
+/// most of its fields, with or without the sections of teams and roll-outs.
+fn render_template(has_sections: bool) -> String {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/node.jsonc");
     let template = fs::read_to_string(path).unwrap();
     let (mut text, mut rest) = (String::new(), &*template);
@@ -92,7 +92,7 @@
         text.push_str(before);
         rest = after;
         let skipped = name.strip_prefix('#');
-        let skipped = skipped.filter(|s| !has_teams || *s != "bounds.quotaWindowS");
+        let skipped = skipped.filter(|s| !has_sections || *s == "zones");
         if let Some(section) = skipped {
             let end = format!("{{{{/{section}}}}}");
             rest = after.split_once(end.as_str()).unwrap().1;
@@ -119,8 +119,33 @@
     for has_teams in [false, true] {
         let text = render_template(has_teams);
         let node = read_node("node.jsonc", &text).unwrap_or_else(|e| panic!("{e}\n{text}"));
-        let teams = node.value.gateway.unwrap().teams;
+        let gateway = node.value.gateway.unwrap();
+        assert_eq!(gateway.rollout.is_some(), has_teams);
+        let teams = gateway.teams;
         assert_eq!(teams.is_some(), has_teams);
         assert!(teams.is_none_or(|t| t.strict_revoke && t.revoke_ms == 1));
     }
 }
+
+/// Guards against a node that does not start where the platform leaves these
+/// sections out of its settings, and against one that ignores them.
+#[test]
+fn read_node_with_and_without_rollout_limits() {
+    let text = r#"{
+        "name": "n", "domain": "a", "callers": "127.0.0.1:1", "peers": "127.0.0.1:2",
+        "operators": "127.0.0.1:3", "platform": "127.0.0.1:4",
+        "gateway": {
+            "site": "platform", "region": "near", "ready": "127.0.0.1:5",
+            "domains": [{"name": "a", "region": "near"}], "seeds": [], "extra_share": 0.2,
+            "extra_slack": 56, "extra_secs": 10, "cpu_share": 0.25, "cpu_speed": 1.0,
+            "keep_secs": 5, ROLLOUT
+        },
+    }"#;
+    let rollout = r#""rollout": {"expose_share": 0.1, "expose_slack": 50, "rollback_ms": 5000},"#;
+    for (section, expected) in [("", None), (rollout, Some(50))] {
+        let text = text.replace("ROLLOUT", section);
+        let node = read_node("node.jsonc", &text).unwrap().value;
+        let limits = node.gateway.unwrap().rollout;
+        assert_eq!(limits.map(|l| l.expose_slack), expected);
+    }
+}
