--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -1,6 +1,8 @@
 //! One target as this node knows it: the state that it reports of itself, and
 //! the latency, load and failures observed in its replies.
 
+mod limit;
+
 use std::{
     sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     time::Duration,
@@ -8,7 +10,6 @@
 
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{Name, TargetEntry};
-use heatherrun_kernel::site::StatedLimit;
 use heatherrun_kernel::time::micros;
 
 use crate::pace::TargetPace;
@@ -16,6 +17,8 @@
 use crate::ramp::Ramp;
 use crate::refusals::RefusalLimit;
 
+pub use self::limit::LimitChange;
+
 /// Inverse weight of one reply in the moving average of the latency.
 const LATENCY_WEIGHT_DIVISOR: u64 = 6;
 
@@ -75,13 +78,6 @@
 /// Value of [`Target::limit`] of a target that named no limit.
 const NO_LIMIT: u64 = u64::MAX;
 
-/// Lowest limit that is kept. Without any call, the end of a limit of zero would
-/// go unnoticed.
-const MIN_LIMIT_PER_SEC: f64 = 0.2;
-
-/// Unit of [`Target::limit`]: calls per second are counted in thousandths.
-const LIMIT_UNITS_PER_CALL: f64 = 1_000.0;
-
 /// Network distance of a target from this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -116,17 +112,6 @@
     pub reports_load: bool,
 }
 
-/// Effect of a reply on the limit of its target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LimitChange {
-    /// Nothing that matters.
-    None,
-    /// It named a limit, or another one than before.
-    Named,
-    /// It no longer names a limit.
-    Ended,
-}
-
 impl Distance {
     /// Expected latency of a target without observed replies.
     const fn initial_latency(self) -> Duration {
@@ -298,50 +283,6 @@
         }
     }
 
-    /// Records what the reply to a call sent at `sent_at` says of the limit.
-    ///
-    /// Replies arrive in any order, so only the reply to a later call than
-    /// those that named the limit ends it.
-    pub fn record_limit(&self, sent_at: Time, stated: StatedLimit) -> LimitChange {
-        match stated {
-            StatedLimit::Invalid => LimitChange::None,
-            StatedLimit::PerSec(per_sec) => {
-                self.limit_sent.fetch_max(sent_at.0, Ordering::Relaxed);
-                #[expect(
-                    clippy::cast_possible_truncation,
-                    clippy::cast_sign_loss,
-                    reason = "not negative; a larger rate than u64 is no limit"
-                )]
-                let limit = (per_sec * LIMIT_UNITS_PER_CALL) as u64;
-                if self.limit.swap(limit, Ordering::Relaxed) == limit {
-                    return LimitChange::None;
-                }
-                LimitChange::Named
-            }
-            StatedLimit::None => {
-                let is_newer = sent_at.0 > self.limit_sent.load(Ordering::Relaxed);
-                if !is_newer || self.limit.swap(NO_LIMIT, Ordering::Relaxed) == NO_LIMIT {
-                    return LimitChange::None;
-                }
-                LimitChange::Ended
-            }
-        }
-    }
-
-    /// Calls per second that the target takes from all nodes together, at least
-    /// [`MIN_LIMIT_PER_SEC`]; `None` if it names no limit.
-    #[must_use]
-    pub fn limit_per_sec(&self) -> Option<f64> {
-        #[expect(clippy::cast_precision_loss, reason = "a rate, not a count")]
-        let per_sec = |limit: u64| (limit as f64 / LIMIT_UNITS_PER_CALL).max(MIN_LIMIT_PER_SEC);
-        self.named_limit().map(per_sec)
-    }
-
-    fn named_limit(&self) -> Option<u64> {
-        let limit = self.limit.load(Ordering::Relaxed);
-        (limit != NO_LIMIT).then_some(limit)
-    }
-
     /// Whether the target may be sent new calls: it is neither draining,
     /// leaving nor gone.
     #[must_use]
