--- a/crates/routing/src/feed.rs
+++ b/crates/routing/src/feed.rs
@@ -126,7 +126,8 @@
     deleted: HashMap<Arc<str>, u64>,
     /// The same deletions in the order of their revisions.
     deletions: BTreeSet<(u64, Arc<str>)>,
-    /// Revision of the newest deletion that was discarded.
+    /// Revision up to which deletions are not known: that of the newest one that
+    /// was discarded, or of the newest snapshot, which lists no deletions.
     last_discarded: u64,
     position: Position,
 }
@@ -160,6 +161,7 @@
                 return applied;
             }
             self.delete_missing(&delta, &mut applied.changed);
+            self.last_discarded = self.last_discarded.max(delta.position.revision.0);
         }
         for item in delta.items {
             self.apply_item(item, rules, &mut applied.changed);
@@ -173,6 +175,7 @@
     fn replace_all(&mut self, delta: Delta, rules: &ItemRules<'_>, changed: &mut Vec<Item>) {
         let old = std::mem::take(self);
         self.position = delta.position;
+        self.last_discarded = delta.position.revision.0;
         for item in delta.items {
             let deleted = old.deleted.get(&item.key);
             if deleted.is_some_and(|at| item.revision < *at) && (rules.stays_deleted)(&item) {
--- a/crates/routing/tests/node_state.rs
+++ b/crates/routing/tests/node_state.rs
@@ -97,6 +97,28 @@
     assert!(feed.since(Position::default()).items.is_empty());
 }
 
+/// Guards against a node that keeps a target for good whose entry was deleted: it
+/// asks a node that has just started, which read the store after the deletion
+/// and knows nothing of it. Seen as DRAIN on hunt-753c-19.
+#[test]
+fn since_before_the_first_snapshot_names_deletions() {
+    let mut running = Feed::default();
+    let all = vec![item("x", 1, Some("a")), item("y", 2, Some("b"))];
+    apply(&mut running, delta(true, 5, all));
+    let mut started = Feed::default();
+    let listed = vec![item("y", 2, Some("b")), item("z", 9, Some("c"))];
+    apply(&mut started, delta(true, 10, listed));
+    let changes = started.since(running.position());
+    let changed = apply(&mut running, changes);
+    assert!(changed.iter().any(|i| &*i.key == "x" && i.value.is_none()));
+    assert_eq!(
+        running.since(Position::default()),
+        started.since(Position::default())
+    );
+    // Positions at or after the snapshot need no second one.
+    assert!(!started.since(position(0, 10)).is_complete);
+}
+
 #[test]
 fn since_minor_changes_are_not_relayed() {
     let mut feed = Feed::default();
