--- a/crates/routing/tests/node_state.rs
+++ b/crates/routing/tests/node_state.rs
@@ -108,8 +108,8 @@
     let mut started = Feed::default();
     let listed = vec![item("y", 2, Some("b")), item("z", 9, Some("c"))];
     apply(&mut started, delta(true, 10, listed));
-    let changes = started.since(running.position());
-    let changed = apply(&mut running, changes);
+    let missed = started.since(running.position());
+    let changed = apply(&mut running, missed);
     assert!(changed.iter().any(|i| &*i.key == "x" && i.value.is_none()));
     assert_eq!(
         running.since(Position::default()),
