Listings of the store: a module of their own, and a log line

The log did not tell how old the pages of a listing were, so a node that missed a change could have lost it in the listing, in the changes read after it, or when it applied the configuration. store.listed names the revisions of the first, the oldest and the newest page. Pages are merged by routing/src/listing.rs, which needs no network; what a node reads is as before.

--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -61,6 +61,8 @@
     pub lists: u64,
     /// Calls refused, of those above.
     pub refused: u64,
+    /// Bytes of the keys and values that reads returned.
+    pub bytes: u64,
 }
 
 /// Content of the store at one moment.
@@ -77,6 +79,8 @@
     revision: u64,
     counts: Counts,
     faults: Faults,
+    /// What stale reads of later pages show; the current content if none.
+    stale: Option<Copied>,
     keys: BTreeMap<String, Entry>,
     leases: BTreeMap<u64, (Instant, Duration)>,
     /// Lists of VMs with the time from which each is shown.
@@ -188,6 +192,12 @@
         self.changed.notify_waiters();
     }
 
+    /// From now on stale reads of a page after the first show this copy, as a
+    /// replica that lags behind; with none, the current content.
+    pub fn set_stale_pages(&self, copied: Option<Copied>) {
+        self.lock().stale = copied;
+    }
+
     /// Makes one call.
     ///
     /// # Errors
@@ -210,6 +220,9 @@
             _ => self.lock().apply(call),
         };
         self.changed.notify_waiters();
+        if let Ok(reply) = &reply {
+            self.lock().counts.bytes += reply_bytes(reply);
+        }
         if lost {
             return Err(StoreError::NoAnswer);
         }
@@ -313,7 +326,16 @@
                 value,
                 lease,
             } => return self.swap(key, expect, value, lease),
-            StoreCall::List { prefix, after, .. } => self.page(&prefix, &after),
+            StoreCall::List {
+                prefix,
+                after,
+                stale,
+            } => match &self.stale {
+                Some(copied) if stale && !after.is_empty() => {
+                    page(&copied.keys, copied.revision, &prefix, &after)
+                }
+                _ => page(&self.keys, self.revision, &prefix, &after),
+            },
             StoreCall::Watch { prefix, after, .. } => self.changes(&prefix, after),
             StoreCall::Grant { ttl } => {
                 self.revision += 1;
@@ -384,17 +406,6 @@
         StoreReply::Changes(found, Revision(self.revision))
     }
 
-    fn page(&mut self, prefix: &str, after: &str) -> StoreReply {
-        self.expire(Instant::now());
-        let there = self.keys.iter().filter(|(key, entry)| {
-            key.starts_with(prefix) && key.as_str() > after && entry.value.is_some()
-        });
-        let mut found: Vec<_> = there.map(|(key, entry)| key_value(key, entry)).collect();
-        let more = found.len() > PAGE_KEYS;
-        found.truncate(PAGE_KEYS);
-        StoreReply::Page(found, more, Revision(self.revision))
-    }
-
     fn expire(&mut self, now: Instant) {
         let lapsed: Vec<u64> = self
             .leases
@@ -419,6 +430,29 @@
     }
 }
 
+fn page(keys: &BTreeMap<String, Entry>, revision: u64, prefix: &str, after: &str) -> StoreReply {
+    let there = keys.iter().filter(|(key, entry)| {
+        key.starts_with(prefix) && key.as_str() > after && entry.value.is_some()
+    });
+    let mut found: Vec<_> = there.map(|(key, entry)| key_value(key, entry)).collect();
+    let more = found.len() > PAGE_KEYS;
+    found.truncate(PAGE_KEYS);
+    StoreReply::Page(found, more, Revision(revision))
+}
+
+/// Bytes of the keys and values in a reply.
+fn reply_bytes(reply: &StoreReply) -> u64 {
+    let found = match reply {
+        StoreReply::Value(Some(found)) => std::slice::from_ref(found),
+        StoreReply::Page(found, ..) | StoreReply::Changes(found, _) => found,
+        _ => &[],
+    };
+    let sizes = found
+        .iter()
+        .map(|kv| kv.key.len() + kv.value.as_ref().map_or(0, Vec::len));
+    sizes.map(|size| size as u64).sum()
+}
+
 fn key_value(key: &str, entry: &Entry) -> KeyValue {
     KeyValue {
         key: key.to_owned(),
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -14,7 +14,8 @@
 use heatherrun_kernel::routes::NodeEntry;
 use heatherrun_kernel::time::micros;
 use heatherrun_kernel::{Era, Time};
-use heatherrun_routing::feed::{Delta, Feed, Freshness, Item, ItemRules, Position};
+use heatherrun_routing::feed::{Delta, Freshness, Item, Position};
+use heatherrun_routing::listing::{self, Listing};
 use heatherrun_routing::members::{READERS_PER_DOMAIN, Report};
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
@@ -353,14 +354,7 @@
             }
             result => result?,
         };
-        let mut feed = Feed::default();
-        let rules = ItemRules {
-            is_minor_change: &|_, _| false,
-            stays_deleted: &|_| false,
-        };
-        feed.apply(listing, &rules);
-        feed.apply(changes, &rules);
-        Ok(feed.since(Position::default()))
+        Ok(listing::with_changes(listing, changes))
     }
 
     /// Reads the changes after a position. [`StoreError::Forgotten`] also means
@@ -390,12 +384,9 @@
         })
     }
 
-    /// Lists all items, in `known_era` or a later one. The pages together are
-    /// not a snapshot: changes made between them are read as changes after the
-    /// first page's revision.
+    /// Lists all items, in `known_era` or a later one.
     async fn list_all(&self, known_era: Era, allow_stale: bool) -> Result<Delta, StoreError> {
-        let mut items = Vec::new();
-        let mut start = None;
+        let mut listing = Listing::default();
         let mut after = String::new();
         for _ in 0..MAX_LIST_PAGES {
             let call = StoreCall::List {
@@ -407,24 +398,21 @@
             let StoreReply::Page(page, more, revision) = result? else {
                 return Err(StoreError::NoAnswer);
             };
-            let position = *start.get_or_insert(Position { era, revision });
-            if era != position.era || era < known_era {
-                // Pages of two eras, or an answer from before a restore: the
-                // next round lists again.
-                log::warn!(era = era.0, first = position.era.0, known_era = known_era.0; "store.mixed-eras");
-                return Err(StoreError::NoAnswer);
-            }
             if let Some(last) = page.last() {
                 after.clone_from(&last.key);
             }
             let is_last = !more || page.is_empty();
-            items.extend(page.into_iter().map(to_item));
+            let position = Position { era, revision };
+            let added = listing.add_page(page.into_iter().map(to_item), position);
+            if added.is_err() || era < known_era {
+                // Pages of two eras, or an answer from before a restore: the
+                // next round lists again.
+                log::warn!(era = era.0, known_era = known_era.0; "store.mixed-eras");
+                return Err(StoreError::NoAnswer);
+            }
             if is_last {
-                return Ok(Delta {
-                    items,
-                    is_complete: true,
-                    position,
-                });
+                log_listing(&listing, allow_stale);
+                return Ok(listing.into_delta());
             }
         }
         Err(StoreError::TooLarge)
@@ -454,6 +442,18 @@
     std::future::pending::<()>().await;
 }
 
+/// Logs how far the pages of a listing are apart.
+fn log_listing(listing: &Listing, stale: bool) {
+    let positions = listing.positions();
+    let revisions = || positions.iter().map(|p| p.revision.0);
+    let era = positions.first().map_or(0, |p| p.era.0);
+    let (oldest, newest) = (revisions().min(), revisions().max());
+    log::info!(
+        pages = positions.len(), first = revisions().next(), oldest, newest, era, stale;
+        "store.listed"
+    );
+}
+
 fn to_item(entry: KeyValue) -> Item {
     Item {
         key: Arc::from(entry.key),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod feed;
 pub mod fleet;
 pub mod links;
+pub mod listing;
 pub mod members;
 pub mod merge;
 pub mod pace;
