CONFIG: a listing of the store is as old as its oldest page

Cause: the first listing reads pages with allowStale, each from a replica that lags by another time. It took the position of its first page, and the changes were read from there. What changed between an older later page and the first one was in neither. Evidence: store.listed pages=3 first=53 oldest=34 newest=53, the configuration's revision is 47.

Change: the position of a listing is that of its oldest page. All changes since are read, and the higher revision of an item wins, so newer pages lose nothing. Nodes that take their state from another one inherited the gap; orders to take a domain out, keys and searchers that left were lost alike.

Messages and items are unchanged, so old and new builds understand each other.

--- a/crates/routing/src/listing.rs
+++ b/crates/routing/src/listing.rs
@@ -42,11 +42,12 @@
         &self.positions
     }
 
-    /// The items of all pages.
+    /// The items of all pages, at the position of the oldest one: changes after
+    /// it may be missing from that page, even if other pages have later ones.
     #[must_use]
     pub fn into_delta(self) -> Delta {
         Delta {
-            position: self.positions.first().copied().unwrap_or_default(),
+            position: self.positions.into_iter().min().unwrap_or_default(),
             items: self.items,
             is_complete: true,
         }
