config.in-force tells whether requests need a key, and the number of teams

Whether a node refused to apply a version without keys, or applied it and checked none, could not be told from its log.

--- a/crates/gateway/src/state/apply.rs
+++ b/crates/gateway/src/state/apply.rs
@@ -213,12 +213,14 @@
         if current_version.is_some_and(|version| version >= config.version) {
             return;
         }
-        log::info!(version = config.version, revision; "config.in-force");
+        let (version, teams) = (config.version, config.teams.len());
         let routes: HashSet<_> = config.routes.iter().map(|r| &r.name).collect();
         let services: HashSet<_> = config.services.iter().map(|s| &s.name).collect();
         self.route_stats
             .retain(|n| routes.contains(n), |n| services.contains(n));
         let new_table = RouteTable::new(Arc::new(config), now.0);
+        let keyed = new_table.has_teams();
+        log::info!(version, revision, keyed, teams; "config.in-force");
         let shared = new_table.shared_keys();
         let shared: Vec<_> = shared.map(|(a, b)| format!("{a},{b}")).collect();
         if !shared.is_empty() {
