ROUTE, UNASKED: an empty list of teams keeps the keys mandatory

Cause: whether requests need a key was derived from the number of teams, and the decoder made a list without entries and a missing list the same value. Evidence: config.in-force version=9 keyed=false teams=0 at the nodes.

Change: the list is optional in the model, and RouteTable::requires_keys asks whether it is there. The check of keys, the removal of both headers, requests that another node serves and strict_revoke go by it.

--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -164,7 +164,7 @@
     ) {
         let old = self.teams.load();
         let config = table.map(RouteTable::config);
-        let teams = config.iter().flat_map(|c| &c.teams);
+        let teams = config.iter().flat_map(|c| c.teams());
         let mut new = HashMap::new();
         for team in teams {
             let Some(limit) = Limit::of(team) else {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -63,7 +63,7 @@
         .as_ref()
         .is_some_and(|t| t.config().version >= terms.version);
     let is_outdated =
-        table.as_ref().is_some_and(|t| t.has_teams()) && state.is_outdated(state.clock.now());
+        table.as_ref().is_some_and(|t| t.requires_keys()) && state.is_outdated(state.clock.now());
     let is_able =
         is_current && !is_outdated && state.is_ready() && state.links.phase() == Phase::Up;
     let counted = state.forwarder.accept().filter(|_| is_able);
@@ -231,9 +231,9 @@
             is_part: max_records.is_some(),
             route_latency,
             team,
-            ..outgoing_request(&state, table.has_teams(), received)
+            ..outgoing_request(&state, table.requires_keys(), received)
         };
-        let gate = state.destinations.gate(table.has_teams(), &shards);
+        let gate = state.destinations.gate(table.requires_keys(), &shards);
         Self {
             gate,
             state,
@@ -393,16 +393,16 @@
 /// Builds the request for the targets from a caller's request, without the
 /// headers that concern only the caller's connection or this tier. The id, the
 /// team, the deadline and the fields about the route are left for the caller to set.
-fn outgoing_request(state: &State, has_teams: bool, received: Received) -> OutgoingRequest {
+fn outgoing_request(state: &State, requires_keys: bool, received: Received) -> OutgoingRequest {
     let mut headers = received.head.headers;
     headers.remove(CHARGED);
-    let credential = has_teams
+    let credential = requires_keys
         .then(|| authenticate::credential(state.site, &headers))
         .flatten();
     reply::strip_connection_headers(&mut headers);
     let tier_headers = headers
         .keys()
-        .filter(|n| (state.site.is_reserved)(n.as_str(), has_teams));
+        .filter(|n| (state.site.is_reserved)(n.as_str(), requires_keys));
     for name in tier_headers.cloned().collect::<Vec<_>>() {
         headers.remove(name);
     }
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -46,10 +46,10 @@
 }
 
 impl Destinations {
-    /// Gate of the set of services, in any order; none if there are neither teams
+    /// Gate of the set of services, in any order; none if there are neither keys
     /// nor load figures.
-    pub(super) fn gate(&self, has_teams: bool, services: &[Name]) -> Option<Arc<Gate>> {
-        let is_active = has_teams || self.has_load.load(Ordering::Relaxed);
+    pub(super) fn gate(&self, requires_keys: bool, services: &[Name]) -> Option<Arc<Gate>> {
+        let is_active = requires_keys || self.has_load.load(Ordering::Relaxed);
         is_active.then(|| self.find(services))
     }
 
@@ -277,7 +277,7 @@
     /// The caller's team, if the configuration names it.
     fn team(&self) -> Option<&Team> {
         let name = self.outgoing.team.as_ref()?;
-        let teams = &self.table.config().teams;
+        let teams = self.table.config().teams();
         teams.iter().find(|t| t.name == *name)
     }
 
--- a/crates/gateway/src/serve/authenticate.rs
+++ b/crates/gateway/src/serve/authenticate.rs
@@ -32,7 +32,7 @@
     head: &CallerHead<'_>,
     now: Time,
 ) -> Result<(Route, Option<&'a Team>), Box<Reply>> {
-    if !table.has_teams() {
+    if !table.requires_keys() {
         return Ok((route.clone(), None));
     }
     if !route.is_public && state.is_outdated(now) {
--- a/crates/gateway/src/state/apply.rs
+++ b/crates/gateway/src/state/apply.rs
@@ -213,14 +213,17 @@
         if current_version.is_some_and(|version| version >= config.version) {
             return;
         }
-        let (version, teams) = (config.version, config.teams.len());
+        let (version, teams) = (config.version, config.teams().len());
         let routes: HashSet<_> = config.routes.iter().map(|r| &r.name).collect();
         let services: HashSet<_> = config.services.iter().map(|s| &s.name).collect();
         self.route_stats
             .retain(|n| routes.contains(n), |n| services.contains(n));
         let new_table = RouteTable::new(Arc::new(config), now.0);
-        let keyed = new_table.has_teams();
+        let keyed = new_table.requires_keys();
         log::info!(version, revision, keyed, teams; "config.in-force");
+        if keyed && !new_table.has_keys() {
+            log::warn!(version; "config.no-keys");
+        }
         let shared = new_table.shared_keys();
         let shared: Vec<_> = shared.map(|(a, b)| format!("{a},{b}")).collect();
         if !shared.is_empty() {
--- a/crates/kernel/src/routes.rs
+++ b/crates/kernel/src/routes.rs
@@ -68,7 +68,7 @@
     pub priority: u8,
     /// Regions whose targets may serve the route; empty allows all.
     pub regions: Vec<Name>,
-    /// Whether requests need no key, although there are teams.
+    /// Whether requests need no key, although other routes require one.
     pub is_public: bool,
     /// Destination of the requests.
     pub to: Destination,
@@ -163,8 +163,17 @@
     pub services: Vec<Service>,
     /// Limits on requests of callers.
     pub callers: CallerLimits,
-    /// Teams; without any, requests need no key.
-    pub teams: Vec<Team>,
+    /// Teams; `None` if requests need no key. With an empty list they need one
+    /// on each route that is not public, and there is none.
+    pub teams: Option<Vec<Team>>,
+}
+
+impl Config {
+    /// The teams, if there are any.
+    #[must_use]
+    pub fn teams(&self) -> &[Team] {
+        self.teams.as_deref().unwrap_or_default()
+    }
 }
 
 /// A target's registration of itself.
--- a/crates/kernel/src/site.rs
+++ b/crates/kernel/src/site.rs
@@ -158,8 +158,8 @@
     /// Parses the headers of a caller's request.
     pub parse_caller: fn(&HeaderMap) -> CallerHead<'_>,
     /// Whether the tier sets this header of a call itself, so that the caller's
-    /// value is not forwarded. The second argument says whether there are
-    /// teams.
+    /// value is not forwarded. The second argument says whether requests need
+    /// keys.
     pub is_reserved: fn(&str, bool) -> bool,
     /// Name of the header that has the credential.
     pub credential_header: HeaderName,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -48,7 +48,7 @@
         }
         let services = config.services.iter().enumerate();
         let services = services.map(|(ix, s)| (Arc::clone(&s.name), ix)).collect();
-        let keys = KeyIndex::new(&config.teams);
+        let keys = KeyIndex::new(config.teams());
         Self {
             config,
             hosts,
@@ -78,21 +78,27 @@
         self.services.get(name).map(|ix| &self.config.services[*ix])
     }
 
-    /// Whether there are teams, so that requests need a key.
+    /// Whether requests need a key, also if no team has one.
     #[must_use]
-    pub fn has_teams(&self) -> bool {
-        !self.config.teams.is_empty()
+    pub fn requires_keys(&self) -> bool {
+        self.config.teams.is_some()
+    }
+
+    /// Whether some team has a key.
+    #[must_use]
+    pub fn has_keys(&self) -> bool {
+        self.config.teams().iter().any(|t| !t.keys.is_empty())
     }
 
     /// Team that the key belongs to.
     #[must_use]
     pub fn team(&self, key: &str) -> Option<&Team> {
-        self.keys.team(key).map(|ix| &self.config.teams[ix.0])
+        self.keys.team(key).map(|ix| &self.config.teams()[ix.0])
     }
 
     /// Names of the teams that share a key, in pairs.
     pub fn shared_keys(&self) -> impl Iterator<Item = (&Name, &Name)> {
-        let name = |ix: usize| &self.config.teams[ix].name;
+        let name = |ix: usize| &self.config.teams()[ix].name;
         let pairs = self.keys.shared().iter();
         pairs.map(move |(first, later)| (name(first.0), name(later.0)))
     }
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use heatherrun_kernel::Time;
 use heatherrun_kernel::routes::{
-    CallerLimits, Config, Destination, Name, Repeat, Route, SplitPart,
+    ApiKey, CallerLimits, Config, Destination, Name, Repeat, Route, SplitPart, Team,
 };
 use heatherrun_routing::merge::{RECORD_BYTES, merge_greatest};
 use heatherrun_routing::plan::{CallerPath, Plan};
@@ -37,7 +37,7 @@
         version: 1,
         routes,
         services: Vec::new(),
-        teams: Vec::new(),
+        teams: None,
         callers: CallerLimits { body_bytes: 1 },
     };
     RouteTable::new(Arc::new(config), 7)
@@ -60,6 +60,37 @@
     assert_eq!(prefix_of("b.example", "/any").as_deref(), Some("/"));
 }
 
+/// Guards against an empty list of teams that switches all keys off.
+#[test]
+fn requires_keys_with_teams_however_few() {
+    let team = |keys: &[&str]| Team {
+        name: Name::from("red"),
+        keys: keys.iter().map(|k| ApiKey::new(k)).collect(),
+        per_sec: None,
+        burst: 0.0,
+        priority: None,
+        regions: Vec::new(),
+    };
+    for (teams, requires_keys, has_keys) in [
+        (None, false, false),
+        (Some(vec![]), true, false),
+        (Some(vec![team(&[])]), true, false),
+        (Some(vec![team(&[]), team(&["k-1"])]), true, true),
+    ] {
+        let config = Config {
+            teams,
+            ..Config::clone(table(Vec::new()).config())
+        };
+        let table = RouteTable::new(Arc::new(config), 7);
+        assert_eq!(
+            (table.requires_keys(), table.has_keys()),
+            (requires_keys, has_keys)
+        );
+        assert_eq!(table.team("k-1").is_some(), has_keys);
+        assert!(table.team("").is_none() && table.team("k-2").is_none());
+    }
+}
+
 #[test]
 fn choose_part_every_300_requests_follow_the_weights() {
     let table = table(Vec::new());
