Soak: listings with older later pages, and a check of the newest configuration

The soak's items fitted into one page, so no listing there could have pages of different age. Items in front of the configuration now fill the first page, the later ones show the store from before the newest version, and at the end each node must follow that version.

--- a/crates/daemon/tests/soak/breaks.sh
+++ b/crates/daemon/tests/soak/breaks.sh
@@ -16,6 +16,7 @@
     'refused|crates/gateway/src/serve/answer.rs|s/        if not_run {$/        if not_run || self.max_records.is_none() {/'
     'lost|crates/gateway/src/gateway.rs|s/let ended = self.callers.await;/self.callers.abort(); let ended = self.callers.await;/'
     'mixed|crates/routing/src/merge.rs|s/truncate(/truncate(1 + /'
+    'config|crates/routing/src/listing.rs|s/into_iter().min()/into_iter().next()/'
     'drain|crates/routing/src/target.rs|s/\[&self.draining, &self.leaving, &self.gone\]/[\&self.leaving, \&self.gone]/'
 )
 missed=0
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -27,6 +27,9 @@
 /// Number of faults in one run.
 const FAULT_COUNT: usize = 6;
 
+/// Items in front of the configuration, which fill the first page of a listing.
+const FIRST_PAGE_ITEMS: usize = 50;
+
 /// Time that a draining searcher keeps running after its report.
 const DRAIN_TIME: Duration = Duration::from_millis(4_500);
 
@@ -75,7 +78,8 @@
     faults_overlap: bool,
     /// Start of each active fault, by the key that ends it.
     fault_starts: BTreeMap<String, Instant>,
-    route_moved: bool,
+    /// Versions of the configuration written so far.
+    config_count: usize,
     searcher_count: usize,
 }
 
@@ -88,6 +92,9 @@
     /// Starts the deployment and waits until all nodes are ready.
     pub async fn start(seed: u64, folder: &Path) -> Self {
         let site = Site::start().await;
+        for ix in 0..FIRST_PAGE_ITEMS {
+            site.put(&format!("a/{ix:02}"), &json!({})).await;
+        }
         let mut nodes = Vec::new();
         for n in 0..NODE_COUNT {
             nodes.push(Node::new(&format!("node-{n}"), site.store_at, folder).await);
@@ -100,7 +107,7 @@
             rng: SmallRng::seed_from_u64(seed),
             faults_overlap: seed % 2 == 1,
             fault_starts: BTreeMap::new(),
-            route_moved: false,
+            config_count: 0,
             searcher_count: 0,
         };
         for service in ["one", "two", "s0", "s1", "s2"] {
@@ -145,9 +152,14 @@
         });
     }
 
-    /// Writes the next version of the routes. The second version moves the route
-    /// `moved` from service "one" to "two", and later ones keep it there.
+    /// Writes the next version of the routes, which moves the route `moved` from
+    /// service "one" to "two" or back. After the first version, the later pages of
+    /// a listing show the store as it was before the newest one.
     async fn configure(&mut self) {
+        if self.config_count > 0 {
+            let copied = self.site.store.copy();
+            self.site.store.set_stale_pages(Some(copied));
+        }
         let route = |name: &str, kind: &str, service: &str| -> Value {
             let mut route = common::one(kind);
             route["name"] = json!(name);
@@ -160,17 +172,22 @@
         let mut all = common::all();
         all["timeoutMs"] = json!(1_000);
         all["targetLatencyMs"] = json!(300);
-        let service = if self.route_moved { "two" } else { "one" };
+        self.config_count += 1;
+        let service = self.moved_service();
         let routes = json!([
             route("one", "idempotent", "one"),
             route("once", "non_idempotent", "one"),
             route("moved", "idempotent", service),
             all
         ]);
-        self.route_moved = true;
         self.site.configure(routes).await;
     }
 
+    /// Service of the route `moved` in the newest version.
+    pub const fn moved_service(&self) -> &'static str {
+        ["two", "one"][self.config_count % 2]
+    }
+
     /// Injects the faults and returns the violations found by the steps.
     pub async fn inject_faults(&mut self) -> Vec<String> {
         let replacements = node::old_build().map_or(0, |_| NODE_COUNT);
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -28,9 +28,10 @@
 use tokio::task::JoinSet;
 
 /// Default seeds: one with sequential faults, one with overlapping faults, and
-/// those that have failed before. With 203, idle connections used up the rest
-/// of the shutdown time.
-const DEFAULT_SEEDS: [u64; 3] = [2, 3, 203];
+/// those that have failed before. With 16, a node that started kept an older
+/// configuration; with 203, idle connections used up the rest of the shutdown
+/// time.
+const DEFAULT_SEEDS: [u64; 4] = [2, 3, 16, 203];
 
 /// Number of concurrent callers.
 const CALLER_COUNT: u64 = 6;
@@ -105,8 +106,8 @@
     (violations, count)
 }
 
-/// Checks that each node serves requests again after the last fault; returns
-/// the first violation.
+/// Checks that each node serves requests again after the last fault, by the
+/// newest configuration; returns the first violation.
 async fn check_recovery(deployment: &Deployment, request_log: &RequestLog) -> Option<String> {
     for (ix, node) in deployment.nodes.iter().enumerate() {
         let ready = async {
@@ -125,24 +126,30 @@
         loop {
             let attempts = RequestLog::default();
             let client = Client::default();
-            for n in 0..RECOVERY_REQUESTS.0 {
-                let route = ["one", "all"][n % 2];
+            let routes = ["one", "all"].into_iter().cycle();
+            let routes = routes.take(RECOVERY_REQUESTS.0).chain(["moved"]);
+            for (n, route) in routes.enumerate() {
                 let id = format!("after-{ix}-{}", request_log.lock().unwrap().len() + n);
                 callers::send_request(&client, ix, node.callers, route, id, &attempts).await;
             }
             let mut sent = std::mem::take(&mut *attempts.lock().unwrap());
             let succeeded = |s: &&SentRequest| s.result.as_ref().is_ok_and(|r| r.status() == 200);
-            let served = sent.iter().filter(succeeded).count();
+            let (moved, others): (Vec<_>, Vec<_>) = sent.iter().partition(|s| s.route == "moved");
+            let served = others.into_iter().filter(succeeded).count();
+            let newest = deployment.moved_service();
+            let is_newest = |s: &&SentRequest| s.result.as_ref().is_ok_and(|r| r.body() == newest);
+            let follows_newest = moved.iter().any(is_newest);
             request_log.lock().unwrap().append(&mut sent);
-            if served >= RECOVERY_REQUESTS.1 {
+            if served >= RECOVERY_REQUESTS.1 && follows_newest {
                 break;
             }
             if tokio::time::Instant::now() > deadline {
                 let (requests, _) = RECOVERY_REQUESTS;
-                return Some(format!(
-                    "recover: {} serves {served} of {requests}",
-                    node.name
-                ));
+                return Some(if served < RECOVERY_REQUESTS.1 {
+                    format!("recover: {} serves {served} of {requests}", node.name)
+                } else {
+                    format!("config: {} follows an older version", node.name)
+                });
             }
         }
     }
