--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -124,22 +124,7 @@
         }
         let deadline = tokio::time::Instant::now() + RECOVERY_TIMEOUT;
         loop {
-            let attempts = RequestLog::default();
-            let client = Client::default();
-            let routes = ["one", "all"].into_iter().cycle();
-            let routes = routes.take(RECOVERY_REQUESTS.0).chain(["moved"]);
-            for (n, route) in routes.enumerate() {
-                let id = format!("after-{ix}-{}", request_log.lock().unwrap().len() + n);
-                callers::send_request(&client, ix, node.callers, route, id, &attempts).await;
-            }
-            let mut sent = std::mem::take(&mut *attempts.lock().unwrap());
-            let succeeded = |s: &&SentRequest| s.result.as_ref().is_ok_and(|r| r.status() == 200);
-            let (moved, others): (Vec<_>, Vec<_>) = sent.iter().partition(|s| s.route == "moved");
-            let served = others.into_iter().filter(succeeded).count();
-            let newest = deployment.moved_service();
-            let is_newest = |s: &&SentRequest| s.result.as_ref().is_ok_and(|r| r.body() == newest);
-            let follows_newest = moved.iter().any(is_newest);
-            request_log.lock().unwrap().append(&mut sent);
+            let (served, follows_newest) = probe_node(deployment, ix, request_log).await;
             if served >= RECOVERY_REQUESTS.1 && follows_newest {
                 break;
             }
@@ -155,3 +140,36 @@
     }
     None
 }
+
+/// Sends requests to a node. Returns how many of [`RECOVERY_REQUESTS`] were
+/// served, and whether one more went by the newest configuration.
+async fn probe_node(
+    deployment: &Deployment,
+    node: usize,
+    request_log: &RequestLog,
+) -> (usize, bool) {
+    let address = deployment.nodes[node].callers;
+    let attempts = RequestLog::default();
+    let client = Client::default();
+    let routes = ["one", "all"].into_iter().cycle();
+    let routes = routes.take(RECOVERY_REQUESTS.0).chain(["moved"]);
+    for (n, route) in routes.enumerate() {
+        let id = format!("after-{node}-{}", request_log.lock().unwrap().len() + n);
+        callers::send_request(&client, node, address, route, id, &attempts).await;
+    }
+    let mut sent = std::mem::take(&mut *attempts.lock().unwrap());
+    let newest = deployment.moved_service();
+    let (mut served, mut follows_newest) = (0, false);
+    for request in &sent {
+        let Ok(reply) = &request.result else {
+            continue;
+        };
+        if request.route == "moved" {
+            follows_newest = reply.body() == newest;
+        } else {
+            served += usize::from(reply.status() == 200);
+        }
+    }
+    request_log.lock().unwrap().append(&mut sent);
+    (served, follows_newest)
+}
