--- a/crates/daemon/tests/soak/node.rs
+++ b/crates/daemon/tests/soak/node.rs
@@ -89,6 +89,11 @@
         self.process = Some(process.unwrap());
     }
 
+    /// Whether the last start was of this build, not of the older one.
+    pub fn runs_this_build(&self) -> bool {
+        self.starts > 0 && self.starts.is_multiple_of(self.builds.len())
+    }
+
     /// Waits until the process accepts connections.
     ///
     /// # Errors
