RECOVER: entries under foreign names no longer stop a start

Callers saw almost no request served after all processes were restarted, while an entry of another writer stood in the list of searchers under a name with &, +, #, % or a blank, and the list was longer than one page.

Cause: the adapter put keys into queries as they were, so that a listing never got past a page that ended with such a key, or jumped. Beside it, one item that could not be decoded rejected its whole page or all changes, an empty page with more to come counted as the end of the listing, and a complete entry under a foreign name was called as a searcher.

A new line, store.listing-stuck, tells of a listing that does not advance.

--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -15,7 +15,7 @@
 use heatherrun_kernel::time::micros;
 use heatherrun_kernel::{Era, Time};
 use heatherrun_routing::feed::{Delta, Freshness, Item, Position};
-use heatherrun_routing::listing::{self, Listing};
+use heatherrun_routing::listing::{self, Listing, PageError};
 use heatherrun_routing::members::{READERS_PER_DOMAIN, Report};
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
@@ -398,21 +398,25 @@
             let StoreReply::Page(page, more, revision) = result? else {
                 return Err(StoreError::NoAnswer);
             };
-            if let Some(last) = page.last() {
-                after.clone_from(&last.key);
-            }
-            let is_last = !more || page.is_empty();
             let position = Position { era, revision };
-            let added = listing.add_page(page.into_iter().map(to_item), position);
-            if added.is_err() || era < known_era {
+            let added = listing.add_page(page.into_iter().map(to_item), more, position);
+            if added == Err(PageError::MixedEras) || era < known_era {
                 // Pages of two eras, or an answer from before a restore: the
                 // next round lists again.
                 log::warn!(era = era.0, known_era = known_era.0; "store.mixed-eras");
                 return Err(StoreError::NoAnswer);
             }
-            if is_last {
-                log_listing(&listing, allow_stale);
-                return Ok(listing.into_delta());
+            match added {
+                Ok(None) => {
+                    log_listing(&listing, allow_stale);
+                    return Ok(listing.into_delta());
+                }
+                Ok(Some(last)) => last.as_ref().clone_into(&mut after),
+                Err(error) => {
+                    let (after, pages) = (after.as_str(), listing.positions().len());
+                    log::warn!(after, pages, reason:% = error; "store.listing-stuck");
+                    return Err(StoreError::NoAnswer);
+                }
             }
         }
         Err(StoreError::TooLarge)
--- a/crates/routing/tests/listing.rs
+++ b/crates/routing/tests/listing.rs
@@ -7,7 +7,7 @@
 
 use heatherrun_kernel::{Era, Revision};
 use heatherrun_routing::feed::{Delta, Feed, Item, ItemRules, Position};
-use heatherrun_routing::listing::{self, Listing, MixedEras};
+use heatherrun_routing::listing::{self, Listing, PageError};
 use proptest::prelude::*;
 
 /// Keys of the store, in order.
@@ -162,7 +162,8 @@
                     let mut listing = Listing::default();
                     for (page, lag) in lags.into_iter().enumerate() {
                         let at = store.revision().saturating_sub(lag).max(1);
-                        listing.add_page(store.page(page, at), position(at)).unwrap();
+                        let items = store.page(page, at);
+                        listing.add_page(items, false, position(at)).unwrap();
                     }
                     let listing = listing.into_delta();
                     let changes = store.changes(listing.position);
@@ -174,7 +175,8 @@
                     for (page, (key, value)) in writes.into_iter().enumerate() {
                         store.write(key, value);
                         let at = store.revision();
-                        listing.add_page(store.page(page, at), position(at)).unwrap();
+                        let items = store.page(page, at);
+                        listing.add_page(items, false, position(at)).unwrap();
                     }
                     apply(&mut first, listing.into_delta());
                 }
@@ -202,7 +204,7 @@
 fn listing_position_is_the_oldest_page() {
     let mut listing = Listing::default();
     for revision in [53, 34, 40] {
-        listing.add_page([], position(revision)).unwrap();
+        listing.add_page([], false, position(revision)).unwrap();
     }
     assert_eq!(listing.into_delta().position, position(34));
 }
@@ -210,11 +212,33 @@
 #[test]
 fn listing_page_of_another_era_is_rejected() {
     let mut listing = Listing::default();
-    listing.add_page([item(0, 1, true)], position(1)).unwrap();
+    let first = listing.add_page([item(0, 1, true)], true, position(1));
+    assert_eq!(first, Ok(Some(Arc::from(KEYS[0]))));
     let later = Position {
         era: Era(2),
         revision: Revision(1),
     };
-    assert_eq!(listing.add_page([item(2, 1, true)], later), Err(MixedEras));
+    let added = listing.add_page([item(2, 1, true)], false, later);
+    assert_eq!(added, Err(PageError::MixedEras));
     assert_eq!(listing.into_delta().items, [item(0, 1, true)]);
 }
+
+/// Guards against a listing that asked for the same pages without end, and one
+/// that took an incomplete listing for a complete one.
+#[test]
+fn listing_page_without_progress_is_rejected() {
+    let mut listing = Listing::default();
+    let empty = listing.add_page([], true, position(9));
+    assert_eq!(empty, Err(PageError::NoProgress));
+    for key in [1, 2] {
+        let added = listing.add_page([item(key, 1, true)], true, position(9));
+        assert_eq!(added, Ok(Some(Arc::from(KEYS[key]))));
+    }
+    for key in [1, 2] {
+        let again = listing.add_page([item(key, 1, true)], true, position(9));
+        assert_eq!(again, Err(PageError::NoProgress), "{key}");
+    }
+    let last = listing.add_page([item(2, 1, true)], false, position(9));
+    assert_eq!(last, Ok(None));
+    assert_eq!(listing.into_delta().items.len(), 3);
+}
