Settings: memory and file descriptors of the process

deploy/node.jsonc did not render limits.memoryMb and limits.maxFds, so that the daemon did not know its machine. memory_mb and max_fds are optional, with defaults of 256 MB and 4,096, and have no effect yet: the limits that follow from them come with the faults that they mend.

--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -15,12 +15,14 @@
 use crate::nearest::nearest;
 
 /// Keys that may be left out, each after the name of its schema message.
-const OPTIONAL_KEYS: [(&str, &str); 20] = [
+const OPTIONAL_KEYS: [(&str, &str); 22] = [
     ("NodeSettings", "log"),
     ("NodeSettings", "metrics"),
     ("NodeSettings", "address_secs"),
     ("NodeSettings", "stop_secs"),
     ("NodeSettings", "gateway"),
+    ("NodeSettings", "memory_mb"),
+    ("NodeSettings", "max_fds"),
     ("GatewaySettings", "directory"),
     ("GatewaySettings", "scrape"),
     ("GatewaySettings", "rollout"),
@@ -39,13 +41,14 @@
 ];
 
 /// Units of numbers, by the suffix of the key.
-const UNITS_BY_SUFFIX: [(&str, &str); 6] = [
+const UNITS_BY_SUFFIX: [(&str, &str); 7] = [
     ("_ms", "milliseconds"),
     ("deadline_max", "milliseconds"),
     ("_secs", "seconds"),
     ("_percent", "per cent"),
     ("_ppm", "parts per million"),
     ("_bytes", "bytes"),
+    ("_mb", "MB"),
 ];
 
 /// A settings text that was parsed and checked against the schema, and the
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,6 +1,6 @@
 //! Validates the settings of a daemon and fills in their defaults.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, ops::RangeInclusive};
 
 use heatherrun_schema::v1::NodeSettings;
 
@@ -26,6 +26,18 @@
 /// Hard limit of a graceful shutdown, used when the settings name none.
 const DEFAULT_STOP_SECS: u32 = 60;
 
+/// Memory that a process may use at least and at most, in MB.
+const MEMORY_MB: RangeInclusive<u32> = 32..=1_048_576;
+
+/// File descriptors that a process may have open at least and at most.
+const MAX_FDS: RangeInclusive<u32> = 256..=1_048_576;
+
+/// Memory that a process may use when the settings name none, in MB.
+const DEFAULT_MEMORY_MB: u32 = 256;
+
+/// File descriptors that a process may have open when the settings name none.
+const DEFAULT_MAX_FDS: u32 = 4_096;
+
 /// Sets the fields that were left out to their defaults.
 pub(crate) fn fill_defaults(mut settings: NodeSettings) -> NodeSettings {
     if settings.log.is_empty() {
@@ -34,6 +46,12 @@
     if settings.address_secs == 0 {
         settings.address_secs = DEFAULT_ADDRESS_SECS;
     }
+    if settings.memory_mb == 0 {
+        settings.memory_mb = DEFAULT_MEMORY_MB;
+    }
+    if settings.max_fds == 0 {
+        settings.max_fds = DEFAULT_MAX_FDS;
+    }
     if settings.stop_secs == 0 {
         // Callers keep connecting until their cached addresses expire; the
         // remaining time is for finishing requests in flight.
@@ -74,13 +92,28 @@
             &format!("use one of {}", LOG_LEVELS.join(", ")),
         );
     }
-    check_range(
-        "address_secs",
-        settings.address_secs,
-        MAX_ADDRESS_SECS,
-        document,
-    );
-    check_range("stop_secs", settings.stop_secs, MAX_STOP_SECS, document);
+    for (key, value, range, unit) in [
+        (
+            "address_secs",
+            settings.address_secs,
+            1..=MAX_ADDRESS_SECS,
+            "seconds",
+        ),
+        (
+            "stop_secs",
+            settings.stop_secs,
+            1..=MAX_STOP_SECS,
+            "seconds",
+        ),
+        ("memory_mb", settings.memory_mb, MEMORY_MB, "MB"),
+        ("max_fds", settings.max_fds, MAX_FDS, "descriptors"),
+    ] {
+        if document.contains(key) && !range.contains(&value) {
+            let detail = format!("{value} is out of range");
+            let (min, max) = (range.start(), range.end());
+            document.add_error(key, &detail, &format!("write {min} to {max} {unit}"));
+        }
+    }
     let both_valid = document.contains("address_secs") && document.contains("stop_secs");
     if both_valid && settings.stop_secs < settings.address_secs {
         let detail = format!(
@@ -91,13 +124,6 @@
     }
 }
 
-fn check_range(key: &str, value: u32, max: u32, document: &mut Document) {
-    if document.contains(key) && !(1..=max).contains(&value) {
-        let detail = format!("{value} is out of range");
-        document.add_error(key, &detail, &format!("write 1 to {max} seconds"));
-    }
-}
-
 /// Checks that `address` is an IP address and port that others can connect to.
 pub(crate) fn check_address(key: &str, address: &str, document: &mut Document) {
     if !document.contains(key) {
--- a/crates/settings/tests/examples.rs
+++ b/crates/settings/tests/examples.rs
@@ -74,6 +74,7 @@
         "operators": "10.0.0.1:3", "platform": "10.0.0.2:1", "address_secs": 200}"#;
     let node = read_node("node.jsonc", text).unwrap().value;
     assert_eq!((node.log.as_str(), node.stop_secs), ("info", 400));
+    assert_eq!((node.memory_mb, node.max_fds), (256, 4_096));
 }
 
 #[test]
@@ -101,6 +102,7 @@
             let address = format!("\"10.0.0.1:{}\"", text.len());
             text.push_str(match name {
                 "bounds.strictRevoke" => "true",
+                "limits.memoryMb" | "limits.maxFds" => "260",
                 "seeds|json" => "[]",
                 "ip" => "10.0.0.1",
                 "nodeName|json" | "zone|json" | "region|json" => "\"a\"",
