--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -102,7 +102,7 @@
     tokio::spawn(reload::run(
         path.to_owned(),
         hangups,
-        move |gateway_settings| reloader.reload(gateway_settings),
+        move |settings, gateway_settings| reloader.reload(settings, gateway_settings),
     ));
     log::info!(
         domain = settings.domain.as_str(), callers = settings.callers.as_str(),
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use heatherrun_schema::v1::GatewaySettings;
+use heatherrun_schema::v1::{GatewaySettings, NodeSettings};
 use tokio::signal::unix::Signal;
 
 /// Interval at which the file is checked for changes made without a signal.
@@ -18,7 +18,7 @@
 pub async fn run(
     path: PathBuf,
     mut hangups: Signal,
-    apply: impl Fn(&GatewaySettings) -> anyhow::Result<()>,
+    apply: impl Fn(&NodeSettings, &GatewaySettings) -> anyhow::Result<()>,
 ) {
     let mut last_text = fs::read_to_string(&path).unwrap_or_default();
     loop {
@@ -41,7 +41,11 @@
     }
 }
 
-fn reload(path: &Path, text: &str, apply: impl Fn(&GatewaySettings) -> anyhow::Result<()>) {
+fn reload(
+    path: &Path,
+    text: &str,
+    apply: impl Fn(&NodeSettings, &GatewaySettings) -> anyhow::Result<()>,
+) {
     let file = path.display().to_string();
     let settings = match heatherrun_settings::read_node(&file, text) {
         Ok(checked) => checked.value,
@@ -50,11 +54,11 @@
             return;
         }
     };
-    let Some(gateway_settings) = settings.gateway else {
+    let Some(gateway_settings) = &settings.gateway else {
         log::warn!(remedy = "restart the node to turn a gateway into a tier node"; "settings.no-gateway");
         return;
     };
-    if let Err(e) = apply(&gateway_settings) {
+    if let Err(e) = apply(&settings, gateway_settings) {
         log::warn!(reason:% = format!("{e:#}"); "settings.faulty");
     }
 }
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -6,6 +6,7 @@
 use heatherrun_kernel::registry;
 use heatherrun_kernel::{Clock, DomainId, NodeId};
 use heatherrun_ports::listen::{bind, parse};
+use heatherrun_ports::memory::Division;
 use heatherrun_ports::serving::{Listeners, Serving};
 use heatherrun_schema::v1::NodeSettings;
 use heatherrun_tier::node::Node;
@@ -30,6 +31,7 @@
         peers: bind(info.peers).await?,
         operators: bind(parse(&settings.operators, "operators")?).await?,
     };
+    let division = Division::new(settings.memory_mb, settings.max_fds);
     let node = Node::new(
         info,
         Clock::start_boot(),
@@ -38,7 +40,7 @@
         registry::platform(PLATFORM_PLUGIN)?(parse(&settings.platform, "platform")?),
         settings.address_secs,
     );
-    let serving = Serving::start(Arc::clone(&node), listeners);
+    let serving = Serving::start(Arc::clone(&node), listeners, &division);
     Ok((node, serving))
 }
 
--- a/crates/daemon/tests/soak/node.rs
+++ b/crates/daemon/tests/soak/node.rs
@@ -6,7 +6,6 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use heatherrun_schema::v1::NodeSettings;
 use rustix::process::{Pid, Signal, kill_process};
 
 use tokio::net::TcpStream;
@@ -57,7 +56,7 @@
         );
         node.gateway = Some(gateway);
         let settings = folder.join(format!("{name}.jsonc"));
-        fs::write(&settings, settings_text(&node)).unwrap();
+        fs::write(&settings, common::settings_text(&node)).unwrap();
         Self {
             name: name.to_owned(),
             callers,
@@ -156,22 +155,3 @@
         }
     }
 }
-
-/// Serializes the settings as an operator would write them.
-fn settings_text(node: &NodeSettings) -> String {
-    let mut value = serde_json::to_value(node).unwrap();
-    remove_defaults(&mut value);
-    value.to_string()
-}
-
-/// Removes the fields that have their default values.
-fn remove_defaults(value: &mut serde_json::Value) {
-    let Some(fields) = value.as_object_mut() else {
-        return;
-    };
-    fields.retain(|_, value| {
-        remove_defaults(value);
-        let zero = value.as_f64() == Some(0.0) || value.as_str() == Some("");
-        !(value.is_null() || *value == false || zero)
-    });
-}
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -29,7 +29,7 @@
         return directory_reply(state, uri.query().unwrap_or_default());
     }
     if path == METRICS_PATH {
-        return respond(StatusCode::OK, Bytes::from(state.metrics.encode()));
+        return respond(StatusCode::OK, Bytes::from(state.encode_metrics()));
     }
     plain(StatusCode::NOT_FOUND, "no such path on this port")
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use heatherrun_kernel::{Clock, registry, site};
 use heatherrun_ports::http_server::{self, Limits, Phase};
 use heatherrun_ports::listen::{bind, parse};
+use heatherrun_ports::memory::Division;
 use heatherrun_routing::extra_calls::ExtraCallLimit;
 use heatherrun_routing::rollout;
 use heatherrun_schema::v1::{GatewaySettings, NodeSettings};
@@ -76,7 +77,8 @@
 struct Listeners {
     callers: TcpListener,
     peers: TcpListener,
-    endpoints: Vec<TcpListener>,
+    /// Each with its maximum number of connections.
+    endpoints: Vec<(TcpListener, usize)>,
 }
 
 /// Applies changed settings to a running node.
@@ -86,17 +88,25 @@
 
 impl Reloader {
     /// Applies the settings that may change while the node runs: failure
-    /// domains, seeds, the lifetime of a directory answer and the limit on
-    /// extra calls. Other changes need a restart.
+    /// domains, seeds, the lifetime of a directory answer, the limit on extra
+    /// calls, and the memory and descriptors for callers. Other changes need a
+    /// restart.
     ///
     /// # Errors
     /// When an address is malformed; no setting is changed then.
-    pub fn reload(&self, settings: &GatewaySettings) -> anyhow::Result<()> {
+    pub fn reload(
+        &self,
+        node_settings: &NodeSettings,
+        settings: &GatewaySettings,
+    ) -> anyhow::Result<()> {
         let deployment = deployment(settings)?;
         let domains = deployment.regions.len();
         let seeds = deployment.seeds.len();
         self.state.deployment.store(Arc::new(deployment));
-        log::info!(domains, seeds; "gateway.reloaded");
+        let (memory_mb, max_fds) = (node_settings.memory_mb, node_settings.max_fds);
+        let division = Division::new(memory_mb, max_fds);
+        self.state.set_division(&division);
+        log::info!(domains, seeds, memory_mb, max_fds; "gateway.reloaded");
         Ok(())
     }
 }
@@ -116,14 +126,16 @@
         let platform = registry::platform(&settings.site)?(store_address);
         let own_entry = own_entry(node_settings, settings)?;
         let deployment = deployment(settings)?;
+        let division = Division::new(node_settings.memory_mb, node_settings.max_fds);
         let mut endpoints = Vec::new();
-        for (key, address) in [
-            ("ready", &settings.ready),
-            ("directory", &settings.directory),
-            ("scrape", &settings.scrape),
+        for (key, address, connections) in [
+            ("ready", &settings.ready, division.checks),
+            ("directory", &settings.directory, division.lookups),
+            ("scrape", &settings.scrape, division.checks),
         ] {
             if !address.is_empty() {
-                endpoints.push(bind(parse(address, key)?).await?);
+                let listener = bind(parse(address, key)?).await?;
+                endpoints.push((listener, connections));
             }
         }
         let listeners = Listeners {
@@ -131,32 +143,36 @@
             peers: bind(own_entry.peers).await?,
             endpoints,
         };
-        let (state, suspicions) = State::new(own_entry, deployment, Clock::start_boot(), site);
+        let clock = Clock::start_boot();
+        let (state, suspicions) = State::new(own_entry, deployment, clock, site, &division);
         let suspicions = Arc::new(tokio::sync::Mutex::new(suspicions));
         let own = Arc::clone(&state);
         supervise::spawn("suspicions", move || {
             relay::broadcast_suspicions(Arc::clone(&own), Arc::clone(&suspicions))
         });
-        Ok(Self::serve(state, listeners, &platform))
+        Ok(Self::serve(state, listeners, &platform, division.peers))
     }
 
     /// Spawns the servers and the background tasks of the node.
-    fn serve(state: Arc<State>, listeners: Listeners, platform: &Platform) -> Self {
+    fn serve(
+        state: Arc<State>,
+        listeners: Listeners,
+        platform: &Platform,
+        peer_connections: usize,
+    ) -> Self {
         let (phase, phase_receiver) = watch::channel(Phase::Serve);
-        let limits = Limits {
-            head_time: IDLE_TIMEOUT,
-            ..Limits::new(MAX_REQUEST_BODY_BYTES)
-        };
         let server_state = Arc::clone(&state);
-        let callers = http_server::serve(
+        let callers = http_server::serve_within(
             listeners.callers,
-            limits,
+            caller_limits(),
+            Arc::clone(&state.capacity),
             phase_receiver.clone(),
             move |received, _| serve::handle_request(Arc::clone(&server_state), received),
         );
-        for listener in listeners.endpoints {
+        for (listener, connections) in listeners.endpoints {
             let server_state = Arc::clone(&state);
             let limits = Limits {
+                connections,
                 head_time: IDLE_TIMEOUT,
                 ..Limits::new(MAX_ENDPOINT_BODY_BYTES)
             };
@@ -170,7 +186,7 @@
                 },
             ));
         }
-        Self::spawn_background(&state, listeners.peers, platform);
+        Self::spawn_background(&state, listeners.peers, peer_connections, platform);
         Self {
             state,
             phase,
@@ -179,7 +195,12 @@
     }
 
     /// Spawns the tasks that keep the state up to date.
-    fn spawn_background(state: &Arc<State>, peers: TcpListener, platform: &Platform) {
+    fn spawn_background(
+        state: &Arc<State>,
+        peers: TcpListener,
+        peer_connections: usize,
+        platform: &Platform,
+    ) {
         let peers = Arc::new(peers);
         let of = |state: &Arc<State>| Arc::clone(state);
         let own = of(state);
@@ -187,7 +208,9 @@
         let own = of(state);
         supervise::spawn("link-probe", move || link_probe::run(of(&own)));
         let own = of(state);
-        supervise::spawn("relay", move || relay::serve(Arc::clone(&peers), of(&own)));
+        supervise::spawn("relay", move || {
+            relay::serve(Arc::clone(&peers), peer_connections, of(&own))
+        });
         let own = of(state);
         supervise::spawn("join", move || join::run(of(&own)));
         quota::spawn(state);
@@ -273,6 +296,14 @@
     }
 }
 
+/// Limits of the server for callers; its capacity is the node's.
+pub(crate) fn caller_limits() -> Limits {
+    Limits {
+        head_time: IDLE_TIMEOUT,
+        ..Limits::new(MAX_REQUEST_BODY_BYTES)
+    }
+}
+
 /// Builds the entry under which this node registers.
 fn own_entry(
     node_settings: &NodeSettings,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -74,6 +74,8 @@
     admissions: IntCounterVec,
     waiting: IntGaugeVec,
     rollout_calls: IntCounterVec,
+    shortages: IntCounterVec,
+    memory: IntGaugeVec,
     /// Configured names that have series of their own.
     label_names: Mutex<HashSet<Name>>,
 }
@@ -153,30 +155,50 @@
                 "calls during a roll-out, by service and version: new or old",
                 &["service", "version"],
             ),
+            shortages: counter(
+                "heatherrun_shortages_total",
+                "connections and bodies refused or closed for lack of room, by kind",
+                &["kind"],
+            ),
+            memory: IntGaugeVec::new(
+                Opts::new(
+                    "heatherrun_memory_bytes",
+                    "memory granted to bodies of requests and to replies of targets",
+                ),
+                &["part"],
+            )
+            .expect(valid),
             label_names: Mutex::default(),
         };
-        let collectors: [Box<dyn Collector>; 12] = [
-            Box::new(metrics.requests.clone()),
-            Box::new(metrics.answer_seconds.clone()),
-            Box::new(metrics.calls.clone()),
-            Box::new(metrics.reply_seconds.clone()),
-            Box::new(metrics.limited_calls.clone()),
-            Box::new(metrics.ramps.clone()),
-            Box::new(metrics.links_down.clone()),
-            Box::new(metrics.forwards.clone()),
-            Box::new(metrics.quota.clone()),
-            Box::new(metrics.admissions.clone()),
-            Box::new(metrics.waiting.clone()),
-            Box::new(metrics.rollout_calls.clone()),
-        ];
-        for collector in collectors {
-            metrics.registry.register(collector).expect(valid);
-        }
+        metrics.register_all().expect(valid);
         metrics
     }
 }
 
 impl Metrics {
+    fn register_all(&self) -> prometheus::Result<()> {
+        let collectors: [Box<dyn Collector>; 14] = [
+            Box::new(self.requests.clone()),
+            Box::new(self.answer_seconds.clone()),
+            Box::new(self.calls.clone()),
+            Box::new(self.reply_seconds.clone()),
+            Box::new(self.limited_calls.clone()),
+            Box::new(self.ramps.clone()),
+            Box::new(self.links_down.clone()),
+            Box::new(self.forwards.clone()),
+            Box::new(self.quota.clone()),
+            Box::new(self.admissions.clone()),
+            Box::new(self.waiting.clone()),
+            Box::new(self.rollout_calls.clone()),
+            Box::new(self.shortages.clone()),
+            Box::new(self.memory.clone()),
+        ];
+        for collector in collectors {
+            self.registry.register(collector)?;
+        }
+        Ok(())
+    }
+
     /// Records an answer in which `missing` shards are missing.
     pub fn record_answer(&self, route: &Name, elapsed: Duration, missing: usize) {
         let outcome = if missing == 0 { "whole" } else { "partial" };
@@ -264,6 +286,18 @@
         self.rollout_calls.with_label_values(&labels).inc();
     }
 
+    /// Records the number of shortages of a kind so far.
+    pub fn set_shortages(&self, kind: &str, count: u64) {
+        let counter = self.shortages.with_label_values(&[kind]);
+        counter.inc_by(count.saturating_sub(counter.get()));
+    }
+
+    /// Records the memory that is granted to a part.
+    pub fn set_memory(&self, part: &str, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.memory.with_label_values(&[part]).set(bytes);
+    }
+
     /// Label value for `name`: the name itself, or the shared one once
     /// [`MAX_LABEL_NAMES`] others have series.
     fn label<'a>(&self, name: &'a Name) -> &'a str {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -29,7 +29,7 @@
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-/// Maximum number of connections from other nodes; further ones are closed.
+/// Maximum number of connections from other nodes, whatever the settings allow.
 const MAX_CONNECTIONS: usize = 1_024;
 
 /// Request for what changed.
@@ -119,17 +119,19 @@
     }
 }
 
-/// Serves the other nodes on `listener`; never returns. A malformed message
-/// closes its connection.
-pub async fn serve(listener: Arc<TcpListener>, state: Arc<State>) {
-    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+/// Serves the other nodes on `listener`, over at most this many connections;
+/// further ones are closed. Never returns. A malformed message closes its
+/// connection.
+pub async fn serve(listener: Arc<TcpListener>, connections: usize, state: Arc<State>) {
+    let most = connections.min(MAX_CONNECTIONS);
+    let slots = Arc::new(Semaphore::new(most));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
         let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
-            log::warn!(most = MAX_CONNECTIONS; "peer.too-many-connections");
+            log::warn!(most; "peer.too-many-connections");
             continue;
         };
         let transport = serde_transport::new(frames(stream), Bincode::default());
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -70,13 +70,17 @@
     if counted.is_none() {
         return ForwardReply::Unable;
     }
-    let received = match request.into_received() {
+    let mut received = match request.into_received() {
         Ok(received) => received,
         Err(e) => {
             log::warn!(reason:% = e; "forward.malformed");
             return ForwardReply::Unable;
         }
     };
+    let Some(body) = state.capacity.hold_body(received.body) else {
+        return ForwardReply::Unable;
+    };
+    received.body = body;
     let reply = serve_request(Arc::clone(&state), received, Some(terms)).await;
     ForwardReply::new(reply)
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,10 @@
 use heatherrun_kernel::routes::{Name, NodeEntry};
 use heatherrun_kernel::site::Site;
 use heatherrun_kernel::{Clock, Time};
+use heatherrun_ports::capacity::{Capacity, Shortage};
 use heatherrun_ports::http_client::Client;
+use heatherrun_ports::http_server::Limits as ServerLimits;
+use heatherrun_ports::memory::{Division, MemoryBudget};
 use heatherrun_routing::extra_calls::ExtraCallLimit;
 use heatherrun_routing::feed::{Delta, Feed, Position};
 use heatherrun_routing::fleet::{Fleet, Services};
@@ -38,6 +41,7 @@
 
 use crate::crash_tracker::CrashTracker;
 use crate::forward::Forwarder;
+use crate::gateway;
 use crate::log_throttle::LogThrottle;
 use crate::metrics::Metrics;
 use crate::quota::Quota;
@@ -122,6 +126,10 @@
     pub route_stats: RouteStats,
     /// Client for calls to targets, with its connections.
     pub target_client: Client,
+    /// Capacity of the server for callers.
+    pub capacity: Arc<Capacity>,
+    /// Memory of the replies of targets.
+    reply_memory: Arc<MemoryBudget>,
     /// Numbers for the choice among near-equal targets.
     pub draws: Draws,
     /// Admission to the destinations of requests.
@@ -162,7 +170,15 @@
         deployment: Deployment,
         clock: Clock,
         site: &'static Site,
+        division: &Division,
     ) -> (Arc<Self>, Receiver<Suspicion>) {
+        let reply_memory = MemoryBudget::new(division.replies);
+        let limits = ServerLimits {
+            connections: division.callers,
+            body_memory: division.bodies,
+            ..gateway::caller_limits()
+        };
+        let capacity = Capacity::new(&limits).with_replies(Arc::clone(&reply_memory));
         let seed = xxh3_64(own_entry.name.as_bytes());
         let (crash_tracker, suspicions) = CrashTracker::new(seed);
         let rollouts = Rollouts::new(&own_entry, deployment.rollout_limits);
@@ -181,7 +197,9 @@
             fresh_at: AtomicU64::new(0),
             suspicions: Mutex::default(),
             route_stats: RouteStats::default(),
-            target_client: Client::default(),
+            target_client: Client::new(Arc::clone(&reply_memory)),
+            capacity: Arc::new(capacity),
+            reply_memory,
             draws: Draws::new(seed),
             destinations: Destinations::default(),
             crash_tracker,
@@ -206,6 +224,27 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Divides the memory and the descriptors of the process anew.
+    pub fn set_division(&self, division: &Division) {
+        self.capacity.set_connections(division.callers);
+        self.capacity.bodies().set_limit(division.bodies);
+        self.reply_memory.set_limit(division.replies);
+    }
+
+    /// Encodes all metrics of this node in the Prometheus text format.
+    #[must_use]
+    pub fn encode_metrics(&self) -> Vec<u8> {
+        for shortage in Shortage::ALL {
+            let count = self.capacity.count(shortage);
+            self.metrics.set_shortages(shortage.name(), count);
+        }
+        self.metrics
+            .set_memory("bodies", self.capacity.bodies().granted());
+        self.metrics
+            .set_memory("replies", self.reply_memory.granted());
+        self.metrics.encode()
+    }
+
     /// Whether the graceful stop has begun.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/gateway/src/state/apply.rs
+++ b/crates/gateway/src/state/apply.rs
@@ -214,6 +214,7 @@
             return;
         }
         let (version, teams) = (config.version, config.teams().len());
+        self.capacity.set_max_body(config.callers.body_bytes);
         let routes: HashSet<_> = config.routes.iter().map(|r| &r.name).collect();
         let services: HashSet<_> = config.services.iter().map(|s| &s.name).collect();
         self.route_stats
--- a/crates/ports/src/caller.rs
+++ b/crates/ports/src/caller.rs
@@ -40,12 +40,7 @@
 }
 
 /// Serves callers until the phase is [`Phase::Close`].
-pub async fn serve(listener: TcpListener, node: Arc<Node>, phase: watch::Receiver<Phase>) {
-    serve_with_limits(listener, limits(), node, phase).await;
-}
-
-/// Serves callers like [`serve`], with other limits.
-pub async fn serve_with_limits(
+pub async fn serve(
     listener: TcpListener,
     limits: Limits,
     node: Arc<Node>,
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -24,7 +24,10 @@
 
 pub use crate::http_exchange::Whose;
 use crate::http_exchange::{self, SendOutcome};
-use crate::reply_memory::ReplyMemory;
+use crate::memory::MemoryBudget;
+
+/// Memory of all replies of a client that sets none, in bytes.
+const DEFAULT_REPLY_MEMORY: usize = 32 << 20;
 
 /// Maximum time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -152,14 +155,30 @@
 
 /// HTTP client with one connection pool per address; finding a pool takes no
 /// lock.
-#[derive(Default)]
 pub struct Client {
     pools: ArcSwap<HashMap<SocketAddr, Arc<Pool>>>,
-    reply_memory: ReplyMemory,
+    reply_memory: Arc<MemoryBudget>,
     reuse_disabled: bool,
 }
 
+impl Default for Client {
+    fn default() -> Self {
+        Self::new(MemoryBudget::new(DEFAULT_REPLY_MEMORY))
+    }
+}
+
 impl Client {
+    /// Creates a client whose replies take at most this memory, from the time
+    /// that they arrive until the last copy is dropped.
+    #[must_use]
+    pub fn new(reply_memory: Arc<MemoryBudget>) -> Self {
+        Self {
+            pools: ArcSwap::default(),
+            reply_memory,
+            reuse_disabled: false,
+        }
+    }
+
     /// Creates a client that closes each connection after its first reply.
     #[must_use]
     pub fn unkept() -> Self {
--- a/crates/ports/src/http_exchange.rs
+++ b/crates/ports/src/http_exchange.rs
@@ -4,8 +4,9 @@
 //! idle pooled connection holds none. A reply to an earlier request, such as a
 //! late duplicate, is skipped.
 
-use std::io;
+use std::{io, sync::Arc};
 
+use bytes::buf::Chain;
 use bytes::{Buf, Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -13,7 +14,7 @@
 use tokio::net::TcpStream;
 
 use crate::http_client::ExchangeError;
-use crate::reply_memory::ReplyMemory;
+use crate::memory::{MemoryBudget, MemoryGrant};
 
 /// Maximum size of a reply's head, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -38,6 +39,10 @@
 /// Buffer space reserved for each read, in bytes.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 
+/// Length up to which the memory of a reply is not counted, in bytes: nearly all
+/// replies are shorter.
+const FREE_REPLY_BYTES: usize = 16 * 1024;
+
 /// Maximum number of replies to earlier requests that are skipped.
 const MAX_SKIPPED_REPLIES: usize = 4;
 
@@ -88,13 +93,13 @@
     stream: &mut TcpStream,
     request: &Request<Bytes>,
     max_body_bytes: usize,
-    memory: &ReplyMemory,
+    memory: &Arc<MemoryBudget>,
     classify_reply: impl Fn(&Response<Bytes>) -> Whose,
 ) -> SendOutcome {
-    let mut output = Bytes::from(encode(request));
-    let request_length = output.len();
+    let mut output = Bytes::from(encode_head(request)).chain(request.body().clone());
+    let request_length = output.remaining();
     let mut input = BytesMut::new();
-    let mut memory_grant = memory.reply();
+    let mut grant = MemoryGrant::new(memory);
     let mut closed = false;
     let mut skipped = 0;
     let mut parser = Parser::new(request.method(), max_body_bytes);
@@ -104,9 +109,14 @@
             Ok(Some((reply, keep_alive))) => {
                 // Bytes after the reply belong to no request, so the connection
                 // cannot be reused.
-                let clean = output.is_empty() && input.is_empty() && !closed;
+                let clean = !output.has_remaining() && input.is_empty() && !closed;
                 let class = classify_reply(&reply);
                 if class == Whose::Own {
+                    let reply = if grant.bytes() > 0 {
+                        reply.map(|body| grant.hold(body))
+                    } else {
+                        reply
+                    };
                     return SendOutcome::Replied(reply, keep_alive && clean);
                 }
                 skipped += 1;
@@ -116,18 +126,20 @@
                 }
                 continue;
             }
-            Ok(None) if closed && output.len() == request_length => return SendOutcome::NotSent,
+            Ok(None) if closed && output.remaining() == request_length => {
+                return SendOutcome::NotSent;
+            }
             Ok(None) if closed => {
                 return SendOutcome::Failed(parser.truncation_error(&input));
             }
             Ok(None) => {}
         }
         match write_or_read(stream, &mut output, &mut input).await {
-            Ok(_) if !memory_grant.covers(parser.memory(&input)) => {
+            Ok(_) if !grant.cover(parser.memory(&input).saturating_sub(FREE_REPLY_BYTES)) => {
                 return SendOutcome::Failed(ExchangeError::NoMemory);
             }
             Ok(now_closed) => closed = now_closed,
-            Err(_) if output.len() == request_length => return SendOutcome::NotSent,
+            Err(_) if output.remaining() == request_length => return SendOutcome::NotSent,
             // After a reset, whether the body was complete is unknown.
             Err(_) => return SendOutcome::Failed(parser.truncation_error(&input)),
         }
@@ -139,22 +151,19 @@
 /// the connection.
 async fn write_or_read(
     stream: &mut TcpStream,
-    output: &mut Bytes,
+    output: &mut Chain<Bytes, Bytes>,
     input: &mut BytesMut,
 ) -> io::Result<bool> {
     let (mut reader, mut writer) = stream.split();
     input.reserve(READ_BUFFER_BYTES);
     tokio::select! {
         biased;
-        written = writer.write(output), if !output.is_empty() => match written {
-            Ok(count) => {
-                output.advance(count);
-                Ok(false)
-            }
+        written = writer.write_buf(output), if output.has_remaining() => match written {
+            Ok(_) => Ok(false),
             // A reply sent before the peer closed may still be readable.
             Err(error) => match reader.read_buf(input).await {
                 Ok(count) if count > 0 => {
-                    output.clear();
+                    output.advance(output.remaining());
                     Ok(false)
                 }
                 _ => Err(error),
@@ -164,11 +173,12 @@
     }
 }
 
-/// Serializes the request line, headers and body, with the content length
-/// computed from the body.
-fn encode(request: &Request<Bytes>) -> Vec<u8> {
+/// Serializes the request line and the headers, with the content length computed
+/// from the body. The body itself is sent as it is: calls that run at the same
+/// time share it.
+fn encode_head(request: &Request<Bytes>) -> Vec<u8> {
     let path = request.uri().path_and_query().map_or("/", |p| p.as_str());
-    let mut head = Vec::with_capacity(512 + request.body().len());
+    let mut head = Vec::with_capacity(512);
     for part in [request.method().as_str(), " ", path, " HTTP/1.1\r\n"] {
         head.extend_from_slice(part.as_bytes());
     }
@@ -187,7 +197,6 @@
         head.extend_from_slice(format!("content-length: {length}\r\n").as_bytes());
     }
     head.extend_from_slice(b"\r\n");
-    head.extend_from_slice(request.body());
     head
 }
 
@@ -270,6 +279,10 @@
         if is_missing {
             return Ok(None);
         }
+        if length > FREE_REPLY_BYTES {
+            return Ok(Some(input.split_to(length).freeze()));
+        }
+        // A small body does not keep the buffer that it arrived in.
         let body = Bytes::copy_from_slice(&input[..length]);
         input.advance(length);
         Ok(Some(body))
@@ -334,7 +347,7 @@
 
     /// Memory that the reply takes so far, in bytes.
     fn memory(&self, input: &BytesMut) -> usize {
-        input.len() + self.chunks.len()
+        input.capacity() + self.chunks.capacity()
     }
 }
 
--- a/crates/ports/src/http_io.rs
+++ b/crates/ports/src/http_io.rs
@@ -4,8 +4,9 @@
 //! the last response.
 
 use std::{
-    io,
+    io::{self, IoSlice},
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -15,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+use crate::http_connections::Connection;
 use crate::http_reply::{Fault, encode_refusal};
 
 /// Maximum time to keep reading from a peer after the last response.
@@ -36,6 +38,8 @@
     write_timeout: Duration,
     /// Timer of the write timeout, while a write is stalled.
     stall_timer: Option<Pin<Box<Sleep>>>,
+    /// Where the progress of the connection is recorded.
+    observer: Option<Arc<Connection>>,
 }
 
 impl GuardedStream {
@@ -45,6 +49,21 @@
             replacement: Bytes::new(),
             write_timeout,
             stall_timer: None,
+            observer: None,
+        }
+    }
+
+    /// Records the progress of the connection.
+    pub(crate) fn observed_by(self, connection: Arc<Connection>) -> Self {
+        Self {
+            observer: Some(connection),
+            ..self
+        }
+    }
+
+    fn record_unread(&self, is_unread: bool) {
+        if let Some(connection) = &self.observer {
+            connection.set_unread(is_unread);
         }
     }
 
@@ -56,9 +75,14 @@
         written: Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
         if written.is_ready() {
-            self.stall_timer = None;
+            if self.stall_timer.take().is_some() {
+                self.record_unread(false);
+            }
             return written;
         }
+        if self.stall_timer.is_none() {
+            self.record_unread(true);
+        }
         let write_timeout = self.write_timeout;
         let new_timer = || Box::pin(tokio::time::sleep(write_timeout));
         let stall_timer = self.stall_timer.get_or_insert_with(new_timer);
@@ -129,7 +153,14 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let filled = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if let Some(connection) = &self.observer
+            && buf.filled().len() > filled
+        {
+            connection.record_bytes();
+        }
+        read
     }
 }
 
@@ -148,6 +179,26 @@
         self.check_stall(cx, written)
     }
 
+    /// Without vectored writes, the HTTP library would copy each body into a buffer
+    /// of its own.
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_replacement(cx))?;
+        if let Some(fault) = bufs.first().and_then(|head| library_fault(head)) {
+            self.replacement = encode_refusal(fault);
+            return Poll::Ready(Ok(bufs.iter().map(|buf| buf.len()).sum()));
+        }
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check_stall(cx, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.poll_replacement(cx))?;
         Pin::new(&mut self.stream).poll_flush(cx)
--- a/crates/ports/src/http_reply.rs
+++ b/crates/ports/src/http_reply.rs
@@ -15,7 +15,7 @@
 pub type Reply = Response<Full<Bytes>>;
 
 /// Delay before retrying, in milliseconds, suggested to a caller that was
-/// refused for lack of connections.
+/// refused for lack of connections or memory.
 const OVERLOAD_RETRY_MS: u32 = 500;
 
 /// Why the server rejected a request; a rejected request has not run.
@@ -37,6 +37,8 @@
     SlowBody,
     /// The server's connection limit is reached.
     TooManyConnections,
+    /// The bodies of all requests take too much memory.
+    NoMemory,
 }
 
 impl Fault {
@@ -49,7 +51,7 @@
             Self::LongPath => StatusCode::URI_TOO_LONG,
             Self::SlowHead | Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::LongBody => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::TooManyConnections => StatusCode::SERVICE_UNAVAILABLE,
+            Self::TooManyConnections | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -81,13 +83,18 @@
                 "connection limit reached",
                 "retry after retry_ms or use another address",
             ),
+            Self::NoMemory => (
+                "overloaded",
+                "request bodies take too much memory",
+                "retry after retry_ms or use another address",
+            ),
         };
         v1::Refusal {
             ran: v1::Ran::NotRun as i32,
             kind: kind.to_owned(),
             detail: detail.to_owned(),
             remedy: remedy.to_owned(),
-            retry_ms: if self == Self::TooManyConnections {
+            retry_ms: if matches!(self, Self::TooManyConnections | Self::NoMemory) {
                 OVERLOAD_RETRY_MS
             } else {
                 0
--- a/crates/ports/src/http_server.rs
+++ b/crates/ports/src/http_server.rs
@@ -15,14 +15,17 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
+use crate::capacity::{Capacity, Shortage};
+use crate::http_body::BodyReader;
+use crate::http_connections::{Admitted, Close, Connection, Connections, Stage};
 use crate::http_io::GuardedStream;
 use crate::http_reply::{Aborted, Fault, Reply, plain, set_connection_close};
 
@@ -34,8 +37,10 @@
 const MAX_HEADERS: usize = 64;
 
 /// Maximum number of connections over the limit that are sent a refusal at the
-/// same time; further ones are closed without a response.
+/// same time, and the part of the limit that it is at most; further ones are
+/// closed without a response.
 const MAX_CONCURRENT_REFUSALS: usize = 64;
+const REFUSALS_DIVISOR: usize = 16;
 
 /// Maximum wait, while the server closes, for the first request of a connection
 /// that has sent none yet.
@@ -46,10 +51,15 @@
 const KEPT_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Maximum time to keep reading from a peer after the last response while the
-/// server closes. A response is in transit for some tens of milliseconds; a
-/// longer wait would let idle peers use up the time limit of the stop.
+/// server closes, or while others need the connection. A response is in transit
+/// for some tens of milliseconds; a longer wait would let idle peers use up the
+/// time limit of the stop.
 const CLOSING_LINGER_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Size of the kernel's buffer for unread bytes of a connection: it counts as
+/// memory of the process.
+const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -58,6 +68,9 @@
 pub struct Limits {
     /// Maximum size of a request body, in bytes.
     pub body: usize,
+    /// Maximum memory of all request bodies, in bytes. The start of each is not
+    /// counted.
+    pub body_memory: usize,
     /// Maximum number of connections open at the same time.
     pub connections: usize,
     /// Maximum time for the headers of a request to arrive.
@@ -73,6 +86,7 @@
     pub const fn new(body: usize) -> Self {
         Self {
             body,
+            body_memory: 32 << 20,
             connections: 2_048,
             head_time: Duration::from_secs(10),
             body_time: Duration::from_secs(10),
@@ -109,6 +123,9 @@
 /// State shared by all connections of one server.
 struct Shared<H> {
     limits: Limits,
+    capacity: Arc<Capacity>,
+    connections: Arc<Connections>,
+    refusal_slots: Arc<Semaphore>,
     phase: watch::Receiver<Phase>,
     handler: H,
 }
@@ -121,15 +138,36 @@
 pub async fn serve<F>(
     listener: TcpListener,
     limits: Limits,
+    phase: watch::Receiver<Phase>,
+    handler: impl Fn(Result<Received, Fault>, SocketAddr) -> F + Send + Sync + 'static,
+) where
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let capacity = Arc::new(Capacity::new(&limits));
+    serve_within(listener, limits, capacity, phase, handler).await;
+}
+
+/// Serves like [`serve`], within a capacity that may change meanwhile.
+pub async fn serve_within<F>(
+    listener: TcpListener,
+    limits: Limits,
+    capacity: Arc<Capacity>,
     mut phase: watch::Receiver<Phase>,
     handler: impl Fn(Result<Received, Fault>, SocketAddr) -> F + Send + Sync + 'static,
 ) where
     F: Future<Output = Reply> + Send + 'static,
 {
-    let connection_slots = Arc::new(Semaphore::new(limits.connections));
-    let refusal_slots = Arc::new(Semaphore::new(MAX_CONCURRENT_REFUSALS));
+    // Accepted sockets inherit the size.
+    if let Err(e) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::debug!(reason:% = e; "socket.options");
+    }
+    let connections = Arc::<Connections>::default();
+    let refusals = (limits.connections / REFUSALS_DIVISOR).clamp(1, MAX_CONCURRENT_REFUSALS);
     let shared = Arc::new(Shared {
         limits,
+        capacity: Arc::clone(&capacity),
+        connections: Arc::clone(&connections),
+        refusal_slots: Arc::new(Semaphore::new(refusals)),
         phase: phase.clone(),
         handler,
     });
@@ -138,39 +176,44 @@
             biased;
             _ = phase.wait_for(|p| *p == Phase::Close) => break,
             accepted = listener.accept() => accepted,
+            () = capacity.replies_short() => {
+                connections.close_unread();
+                continue;
+            }
         };
         let Ok((stream, peer)) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        start_connection(&shared, &connection_slots, &refusal_slots, stream, peer);
+        start_connection(&shared, stream, peer);
     }
     // Connections that the kernel has already accepted are still served.
     while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
-        start_connection(&shared, &connection_slots, &refusal_slots, stream, peer);
+        start_connection(&shared, stream, peer);
     }
     drop(listener);
-    // All slots are free only when every connection has closed.
-    let all_slots = u32::try_from(limits.connections).unwrap_or(u32::MAX);
-    let _ = connection_slots.acquire_many(all_slots).await;
+    connections.all_closed().await;
 }
 
-/// Serves a connection if a connection slot is free, and refuses it otherwise.
-fn start_connection<F, H>(
-    shared: &Arc<Shared<H>>,
-    connection_slots: &Arc<Semaphore>,
-    refusal_slots: &Arc<Semaphore>,
-    stream: TcpStream,
-    peer: SocketAddr,
-) where
+/// Serves a connection if there is room for it, and refuses it otherwise.
+fn start_connection<F, H>(shared: &Arc<Shared<H>>, stream: TcpStream, peer: SocketAddr)
+where
     F: Future<Output = Reply> + Send + 'static,
     H: Fn(Result<Received, Fault>, SocketAddr) -> F + Send + Sync + 'static,
 {
     let _ = stream.set_nodelay(true);
     let io = GuardedStream::new(stream, shared.limits.body_time);
-    if let Ok(slot) = Arc::clone(connection_slots).try_acquire_owned() {
-        tokio::spawn(serve_connection(Arc::clone(shared), io, peer, slot));
-    } else if let Ok(slot) = Arc::clone(refusal_slots).try_acquire_owned() {
+    let limit = shared.capacity.connections();
+    if let Some(admitted) = shared.connections.admit(limit) {
+        if admitted.replaces {
+            shared.capacity.record(Shortage::ConnectionClosed);
+        }
+        let io = io.observed_by(Arc::clone(&admitted.connection));
+        tokio::spawn(serve_connection(Arc::clone(shared), io, peer, admitted));
+        return;
+    }
+    shared.capacity.record(Shortage::ConnectionRefused);
+    if let Ok(slot) = Arc::clone(&shared.refusal_slots).try_acquire_owned() {
         tokio::spawn(refuse_connection(io, slot));
     }
 }
@@ -182,82 +225,143 @@
     drop(slot);
 }
 
+/// How the HTTP library's part of a connection ended.
+enum Ended {
+    /// It closed the connection, or failed.
+    Done(hyper::Result<()>),
+    /// It waits for a request that is not to be read any more.
+    Idle,
+    /// The client does not read its answer, and others need the room.
+    Abandoned,
+}
+
 /// Serves one connection until it closes.
 async fn serve_connection<F, H>(
     shared: Arc<Shared<H>>,
     io: GuardedStream,
     peer: SocketAddr,
-    slot: OwnedSemaphorePermit,
+    admitted: Admitted,
 ) where
     F: Future<Output = Reply> + Send + 'static,
     H: Fn(Result<Received, Fault>, SocketAddr) -> F + Send + Sync + 'static,
 {
-    let request_count = Arc::new(AtomicU64::new(0));
-    let reply_count = Arc::new(AtomicU64::new(0));
-    let (service_shared, counter) = (Arc::clone(&shared), Arc::clone(&request_count));
-    let replies = Arc::clone(&reply_count);
+    let counts = Arc::<RequestCounts>::default();
+    let (service_shared, service_counts) = (Arc::clone(&shared), Arc::clone(&counts));
+    let connection = Arc::clone(&admitted.connection);
     let note = ConnectionNote::default();
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(note.clone());
-        counter.fetch_add(1, Ordering::AcqRel);
-        let (shared, replies) = (Arc::clone(&service_shared), Arc::clone(&replies));
+        service_counts.started.fetch_add(1, Ordering::AcqRel);
+        let (shared, counts) = (Arc::clone(&service_shared), Arc::clone(&service_counts));
+        let connection = Arc::clone(&connection);
         async move {
-            let reply = handle_request(&shared, request, peer).await;
-            replies.fetch_add(1, Ordering::AcqRel);
+            let reply = handle_request(&shared, &connection, request, peer).await;
+            counts.replied.fetch_add(1, Ordering::AcqRel);
+            connection.set_stage(Stage::Idle);
             reply
         }
     });
-    let mut connection = http1::Builder::new()
+    let mut http = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(shared.limits.head_time)
         .max_buf_size(MAX_BUFFER_BYTES)
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(io), service);
+    let connection = &*admitted.connection;
     let mut phase = shared.phase.clone();
-    let mut result = tokio::select! {
-        biased;
-        result = &mut connection => Some(result),
-        _ = phase.wait_for(|p| *p == Phase::Close) => None,
+    let server_closes = async {
+        let _ = phase.wait_for(|p| *p == Phase::Close).await;
     };
-    let mut is_idle = false;
-    if result.is_none() {
-        let requests_before = request_count.load(Ordering::Acquire);
-        let wait = if requests_before == 0 {
-            FIRST_REQUEST_TIMEOUT
-        } else {
-            KEPT_REQUEST_TIMEOUT
-        };
-        result = tokio::time::timeout(wait, &mut connection).await.ok();
-        is_idle = result.is_none()
-            && request_count.load(Ordering::Acquire) == requests_before
-            && reply_count.load(Ordering::Acquire) == requests_before;
-    }
-    let result = if let Some(result) = result {
-        result
-    } else {
-        Pin::new(&mut connection).graceful_shutdown();
-        (&mut connection).await
+    let ended = tokio::select! {
+        biased;
+        result = &mut http => Ended::Done(result),
+        () = connection.closes(Close::Connection) => {
+            if connection.is_unread() {
+                Ended::Abandoned
+            } else {
+                finish(&mut http, &counts, connection, Duration::ZERO).await
+            }
+        }
+        () = server_closes => {
+            let wait = if counts.started.load(Ordering::Acquire) == 0 {
+                FIRST_REQUEST_TIMEOUT
+            } else {
+                KEPT_REQUEST_TIMEOUT
+            };
+            finish(&mut http, &counts, connection, wait).await
+        }
     };
-    let parts = connection.into_parts();
+    let parts = http.into_parts();
     let mut io = parts.io.into_inner();
+    let result = match ended {
+        Ended::Done(result) => result,
+        Ended::Abandoned => return,
+        Ended::Idle => {
+            // No response is on its way, and a request that still comes is not
+            // to be read: the reset tells its sender so.
+            if connection.is_closing() && !parts.read_buf.is_empty() {
+                io.refuse(Fault::TooManyConnections).await;
+                let _ = tokio::time::timeout(CLOSING_LINGER_TIMEOUT, io.linger()).await;
+            }
+            return;
+        }
+    };
     // A partial head is refused; a connection that sent nothing just closes.
     if result.is_err_and(|e| e.is_timeout()) && !parts.read_buf.is_empty() {
         io.refuse(Fault::SlowHead).await;
     }
-    if is_idle {
-        // No response is on its way, and a request that still comes is not to
-        // be read: the reset tells its sender so.
-        return;
-    }
     let closing_linger = async {
-        let _ = phase.wait_for(|p| *p == Phase::Close).await;
+        if !connection.is_closing() {
+            let _ = phase.wait_for(|p| *p == Phase::Close).await;
+        }
         tokio::time::sleep(CLOSING_LINGER_TIMEOUT).await;
     };
     tokio::select! {
         () = io.linger() => {}
         () = closing_linger => {}
     }
-    drop(slot);
+    drop(admitted);
+}
+
+/// Requests of one connection.
+#[derive(Debug, Default)]
+struct RequestCounts {
+    started: AtomicU64,
+    replied: AtomicU64,
+}
+
+impl RequestCounts {
+    fn load(&self) -> (u64, u64) {
+        let started = self.started.load(Ordering::Acquire);
+        (started, self.replied.load(Ordering::Acquire))
+    }
+}
+
+/// Ends the connection after the requests in flight and those that begin within
+/// `wait`.
+async fn finish<S>(
+    mut http: &mut http1::Connection<TokioIo<GuardedStream>, S>,
+    counts: &RequestCounts,
+    connection: &Connection,
+    wait: Duration,
+) -> Ended
+where
+    S: hyper::service::HttpService<Incoming, ResBody = http_body_util::Full<Bytes>>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let before = counts.load();
+    if let Ok(result) = tokio::time::timeout(wait, &mut http).await {
+        return Ended::Done(result);
+    }
+    let is_idle = counts.load() == before && before.0 == before.1;
+    Pin::new(&mut *http).graceful_shutdown();
+    if is_idle && connection.is_without_request() {
+        // An idle connection closes at once; for the rest of a head, the library
+        // would wait on.
+        let _ = http.now_or_never();
+        return Ended::Idle;
+    }
+    Ended::Done(http.await)
 }
 
 /// Reply to a request whose handler failed: whether it ran is unknown.
@@ -272,6 +376,7 @@
 /// handler.
 async fn handle_request<F, H>(
     shared: &Shared<H>,
+    connection: &Connection,
     request: Request<Incoming>,
     peer: SocketAddr,
 ) -> Result<Reply, Aborted>
@@ -280,29 +385,27 @@
     H: Fn(Result<Received, Fault>, SocketAddr) -> F,
 {
     let (head, body) = request.into_parts();
-    let declared_bytes = body.size_hint().lower();
-    let read_body = Limited::new(body, shared.limits.body).collect();
-    let received = if declared_bytes > shared.limits.body as u64 {
-        // The declared length suffices to reject the body without reading it.
-        Err(Fault::LongBody)
-    } else {
-        match tokio::time::timeout(shared.limits.body_time, read_body).await {
-            Ok(Ok(body)) => Ok(Received {
-                head,
-                body: body.to_bytes(),
-            }),
-            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Fault::LongBody),
-            Ok(Err(_)) => Err(Fault::TruncatedBody),
-            Err(_) => Err(Fault::SlowBody),
-        }
+    let reader = BodyReader {
+        max_bytes: shared.capacity.max_body().min(shared.limits.body),
+        max_time: shared.limits.body_time,
+        budget: shared.capacity.bodies(),
+        connections: &shared.connections,
+        connection,
+        phase: shared.phase.clone(),
     };
+    let received = reader.read(body).await;
+    connection.set_stage(Stage::Running);
+    if received == Err(Fault::NoMemory) {
+        shared.capacity.record(Shortage::BodyRefused);
+    }
     let is_fault = received.is_err();
+    let received = received.map(|body| Received { head, body });
     let handling = AssertUnwindSafe(async { (shared.handler)(received, peer).await });
     let mut reply = handling.catch_unwind().await.unwrap_or_else(|_| {
         log::error!(peer:% = peer; "request.handler-panicked");
         internal_error()
     });
-    if is_fault || *shared.phase.borrow() != Phase::Serve {
+    if is_fault || connection.is_closing() || *shared.phase.borrow() != Phase::Serve {
         set_connection_close(&mut reply);
     }
     match reply.extensions().get::<Aborted>() {
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -5,17 +5,20 @@
 //! platform implement ports that the kernel defines.
 
 pub mod caller;
+pub mod capacity;
+mod http_body;
 pub mod http_client;
+mod http_connections;
 mod http_exchange;
 mod http_io;
 pub mod http_reply;
 pub mod http_server;
 pub mod listen;
+pub mod memory;
 pub mod operator;
 pub mod peer;
 pub mod peer_client;
 pub mod platform;
-mod reply_memory;
 pub mod serving;
 pub mod target;
 pub mod wire;
--- a/crates/ports/src/operator.rs
+++ b/crates/ports/src/operator.rs
@@ -20,44 +20,46 @@
 /// Path prefix of all calls; the name of the call follows.
 pub const PATH_PREFIX: &str = "/operator/";
 
+/// Default limits of the server for operators.
+#[must_use]
+pub const fn limits() -> Limits {
+    Limits::new(MAX_BODY_BYTES)
+}
+
 /// Serves operators until the phase is [`Phase::Close`].
-pub async fn serve(listener: TcpListener, node: Arc<Node>, phase: watch::Receiver<Phase>) {
-    http_server::serve(
-        listener,
-        Limits::new(MAX_BODY_BYTES),
-        phase,
-        move |received, _| {
-            let node = Arc::clone(&node);
-            async move {
-                let received = match received {
-                    Ok(received) => received,
-                    Err(fault) => return fault.reply(),
-                };
-                if received.head.method != Method::POST {
-                    return plain(
-                        StatusCode::METHOD_NOT_ALLOWED,
-                        "send operator calls as POST requests",
-                    );
-                }
-                let path = received.head.uri.path();
-                let call = path.strip_prefix(PATH_PREFIX).unwrap_or(path);
-                let result = match check_config(call, &received.body) {
-                    Ok(()) => v1::dispatch(node.as_ref(), call, &received.body).await,
-                    Err(fault) => Err(fault),
-                };
-                match result {
-                    Ok(body) => respond(StatusCode::OK, body.into()),
-                    Err(e @ CallError::UnknownCall(_)) => {
-                        plain(StatusCode::NOT_FOUND, &e.to_string())
-                    }
-                    Err(e @ CallError::Malformed(_)) => {
-                        plain(StatusCode::BAD_REQUEST, &e.to_string())
-                    }
-                    Err(e) => plain(StatusCode::CONFLICT, &e.to_string()),
-                }
+pub async fn serve(
+    listener: TcpListener,
+    limits: Limits,
+    node: Arc<Node>,
+    phase: watch::Receiver<Phase>,
+) {
+    http_server::serve(listener, limits, phase, move |received, _| {
+        let node = Arc::clone(&node);
+        async move {
+            let received = match received {
+                Ok(received) => received,
+                Err(fault) => return fault.reply(),
+            };
+            if received.head.method != Method::POST {
+                return plain(
+                    StatusCode::METHOD_NOT_ALLOWED,
+                    "send operator calls as POST requests",
+                );
+            }
+            let path = received.head.uri.path();
+            let call = path.strip_prefix(PATH_PREFIX).unwrap_or(path);
+            let result = match check_config(call, &received.body) {
+                Ok(()) => v1::dispatch(node.as_ref(), call, &received.body).await,
+                Err(fault) => Err(fault),
+            };
+            match result {
+                Ok(body) => respond(StatusCode::OK, body.into()),
+                Err(e @ CallError::UnknownCall(_)) => plain(StatusCode::NOT_FOUND, &e.to_string()),
+                Err(e @ CallError::Malformed(_)) => plain(StatusCode::BAD_REQUEST, &e.to_string()),
+                Err(e) => plain(StatusCode::CONFLICT, &e.to_string()),
             }
-        },
-    )
+        }
+    })
     .await;
 }
 
--- a/crates/ports/src/serving.rs
+++ b/crates/ports/src/serving.rs
@@ -13,7 +13,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::http_server::Phase;
+use crate::http_server::{Limits, Phase};
+use crate::memory::Division;
 use crate::{caller, operator, peer};
 
 /// Interval at which the start of a planned stop is polled.
@@ -39,17 +40,32 @@
 }
 
 impl Serving {
-    /// Spawns the servers on `listeners` and the node's control task.
+    /// Spawns the servers on `listeners` and the node's control task. The servers
+    /// keep to their parts of the process's memory and descriptors.
     #[must_use]
-    pub fn start(node: Arc<Node>, listeners: Listeners) -> Self {
+    pub fn start(node: Arc<Node>, listeners: Listeners, division: &Division) -> Self {
         let (phase, phase_receiver) = watch::channel(Phase::Serve);
         tokio::spawn(peer::serve(listeners.peers, Arc::clone(&node)));
         let operator_server = operator::serve(
             listeners.operators,
+            Limits {
+                connections: division.checks,
+                body_memory: division.bodies,
+                ..operator::limits()
+            },
             Arc::clone(&node),
             phase_receiver.clone(),
         );
-        let caller_server = caller::serve(listeners.callers, Arc::clone(&node), phase_receiver);
+        let caller_server = caller::serve(
+            listeners.callers,
+            Limits {
+                connections: division.callers,
+                body_memory: division.bodies,
+                ..caller::limits()
+            },
+            Arc::clone(&node),
+            phase_receiver,
+        );
         let control_node = Arc::clone(&node);
         tokio::spawn(async move { control_node.follow().await });
         Self {
--- a/crates/ports/tests/callers.rs
+++ b/crates/ports/tests/callers.rs
@@ -38,12 +38,7 @@
     let address = listener.local_addr().unwrap();
     let (phase, phase_receiver) = watch::channel(Phase::Serve);
     let node = Arc::clone(&tier.nodes[0].node);
-    tokio::spawn(caller::serve_with_limits(
-        listener,
-        limits,
-        node,
-        phase_receiver,
-    ));
+    tokio::spawn(caller::serve(listener, limits, node, phase_receiver));
     (address, phase)
 }
 
--- a/crates/ports/tests/http_server.rs
+++ b/crates/ports/tests/http_server.rs
@@ -97,3 +97,138 @@
     }
     server.await.unwrap();
 }
+
+/// Length of a body in these tests; all bodies together have memory for one.
+const BODY_BYTES: usize = 64 * 1_024;
+
+/// A server that replies with the length of the body, and its phase.
+struct Server {
+    address: SocketAddr,
+    phase: watch::Sender<Phase>,
+    serving: tokio::task::JoinHandle<()>,
+}
+
+async fn start_server(connections: usize) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (phase, phase_receiver) = watch::channel(Phase::Serve);
+    let hour = Duration::from_hours(1);
+    let limits = Limits {
+        body: BODY_BYTES,
+        body_memory: BODY_BYTES,
+        connections,
+        head_time: hour,
+        body_time: hour,
+    };
+    let serving = http_server::serve(listener, limits, phase_receiver, |received, _| async {
+        match received {
+            Ok(received) => plain(StatusCode::OK, &received.body.len().to_string()),
+            Err(fault) => fault.reply(),
+        }
+    });
+    Server {
+        address,
+        phase,
+        serving: tokio::spawn(serving),
+    }
+}
+
+/// A request that closes its connection, up to this byte of its body.
+async fn send_body(address: SocketAddr, bytes: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = format!(
+        "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {BODY_BYTES}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(&vec![b'b'; bytes]).await.unwrap();
+    stream
+}
+
+/// Waits until the server has read what was sent, and a connection counts as
+/// stalled or idle.
+async fn wait_stalled() {
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+}
+
+#[tokio::test]
+async fn serve_stalled_body_makes_room() {
+    let server = start_server(8).await;
+    let mut stalled = send_body(server.address, BODY_BYTES - 5).await;
+    wait_stalled().await;
+    let mut whole = send_body(server.address, BODY_BYTES).await;
+    let reply = read_all(&mut whole).await;
+    assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+    assert!(reply.ends_with("65536"), "{reply}");
+    let refusal = read_all(&mut stalled).await;
+    assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+    assert!(refusal.contains("retry-after"), "{refusal}");
+}
+
+/// One that is about to finish keeps its memory before one that lacks more, and a
+/// small one is served beside both.
+#[tokio::test]
+async fn serve_body_that_lacks_more_is_refused() {
+    let server = start_server(8).await;
+    let mut almost = send_body(server.address, BODY_BYTES - 5).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut half = send_body(server.address, BODY_BYTES / 2).await;
+    let refusal = read_all(&mut half).await;
+    assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+    let client = Client::default();
+    assert_eq!(get_status(&client, server.address, "/").await, 200);
+    almost.write_all(b"bbbbb").await.unwrap();
+    let reply = read_all(&mut almost).await;
+    assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+}
+
+#[tokio::test]
+async fn serve_connections_without_progress_make_room() {
+    let server = start_server(3).await;
+    let mut head = TcpStream::connect(server.address).await.unwrap();
+    head.write_all(b"POST / HTTP/1.1\r\nhost:").await.unwrap();
+    let mut silent = TcpStream::connect(server.address).await.unwrap();
+    let _body = send_body(server.address, BODY_BYTES - 5).await;
+    wait_stalled().await;
+    for _ in 0..6 {
+        let retrying = async {
+            // A refused caller comes back.
+            while get_status(&Client::default(), server.address, "/").await != 200 {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let result = tokio::time::timeout(Duration::from_secs(20), retrying).await;
+        assert!(result.is_ok(), "no connection made room");
+    }
+    let refusal = read_all(&mut head).await;
+    assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+    assert_eq!(read_all(&mut silent).await, "");
+}
+
+/// A request on a connection that has been idle is served as before while there
+/// are fewer connections than the limit.
+#[tokio::test]
+async fn serve_idle_connection_below_the_limit_stays() {
+    let server = start_server(3).await;
+    let client = Client::default();
+    assert_eq!(get_status(&client, server.address, "/").await, 200);
+    wait_stalled().await;
+    let other = Client::default();
+    assert_eq!(get_status(&other, server.address, "/").await, 200);
+    assert_eq!(get_status(&client, server.address, "/").await, 200);
+    assert_eq!(client.connections(server.address), 1);
+}
+
+/// Guards against a planned stop that waited for the rest of heads and bodies for
+/// as long as these may take.
+#[tokio::test]
+async fn serve_close_does_not_wait_for_stalled_clients() {
+    let server = start_server(8).await;
+    let mut head = TcpStream::connect(server.address).await.unwrap();
+    head.write_all(b"POST / HTTP/1.1\r\nhost:").await.unwrap();
+    let body = send_body(server.address, BODY_BYTES - 5).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    server.phase.send_replace(Phase::Close);
+    let ended = tokio::time::timeout(Duration::from_secs(20), server.serving).await;
+    assert!(ended.is_ok(), "still serving");
+    drop((head, body));
+}
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -27,7 +27,7 @@
 const DEFAULT_STOP_SECS: u32 = 60;
 
 /// Memory that a process may use at least and at most, in MB.
-const MEMORY_MB: RangeInclusive<u32> = 32..=1_048_576;
+const MEMORY_MB: RangeInclusive<u32> = 64..=1_048_576;
 
 /// File descriptors that a process may have open at least and at most.
 const MAX_FDS: RangeInclusive<u32> = 256..=1_048_576;
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -8,6 +8,7 @@
 use heatherrun_kernel::message::NodeInfo;
 use heatherrun_kernel::port::{Peers, Targets};
 use heatherrun_kernel::{Clock, DomainId, NodeId};
+use heatherrun_ports::memory::Division;
 use heatherrun_ports::serving::{Listeners, Serving};
 use heatherrun_ports::{peer_client, platform, target};
 use heatherrun_tier::node::Node;
@@ -17,6 +18,10 @@
 /// Any free loopback port.
 const ANY: &str = "127.0.0.1:0";
 
+/// Memory and descriptors of a node, as of a VM of the users.
+const MEMORY_MB: u32 = 256;
+const MAX_FDS: u32 = 4_096;
+
 /// Name of the threads on which nodes run.
 pub const NODE_THREAD: &str = "heatherrun-node";
 
@@ -148,12 +153,13 @@
         platform::platform(spec.platform),
         spec.keep_secs,
     );
+    let division = Division::new(MEMORY_MB, MAX_FDS);
     let listeners = Listeners {
         callers,
         peers,
         operators,
     };
-    let serving = Serving::start(Arc::clone(&node), listeners);
+    let serving = Serving::start(Arc::clone(&node), listeners, &division);
     Ok(LocalNode {
         node,
         domain: spec.domain,
