MIXED: a reply whose end is in doubt is a failure

Callers got answers with bodies that were not the searcher's: a searcher in trouble spoilt the head where it tells the length, or held a line that is no field.

Cause: the reader of replies put up with too much. +2 was a number, any list with chunked was chunked, an empty size was the last chunk, lines ended with a bare line feed, trailers were not looked at, statuses above 599 were passed on, and what had no readable length was read until the close, so that sizes of chunks became content.

Through a node, a caller got a part of a spoilt answer with 200. Status 000, lines without a colon and names with blanks were refused already. reply.malformed tells the reason now.

Change: lengths are digits alone, codings are chunked alone, all lines end with CR LF, statuses are 100 to 599, sizes of chunks have a digit and trailers are fields. An answer without length is taken unless its connection is kept or a line is similar to a field with the length; bytes behind an answer may only begin another one.

--- a/crates/ports/src/http_exchange.rs
+++ b/crates/ports/src/http_exchange.rs
@@ -1,6 +1,6 @@
 //! Client side of one HTTP/1.1 request/reply exchange over an open connection.
 //!
-//! `httparse` parses the head. Buffers live only as long as the exchange, so an
+//! [`http_head`](crate::http_head) parses the head. Buffers live only as long as the exchange, so an
 //! idle pooled connection holds none. A reply to an earlier request, such as a
 //! late duplicate, is skipped.
 
@@ -8,17 +8,15 @@
 
 use bytes::buf::Chain;
 use bytes::{Buf, Bytes, BytesMut};
-use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{Method, Request, Response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 use crate::http_client::ExchangeError;
+use crate::http_head::{Framing, Head, are_trailers, malformed, parse_head};
 use crate::memory::{MemoryBudget, MemoryGrant};
 
-/// Maximum size of a reply's head, in bytes.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
-
 /// Maximum length of a chunk's size with its extensions, and of all trailers, in
 /// bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 4 * 1024;
@@ -33,9 +31,6 @@
 /// Maximum number of informational (1xx) replies before the final one.
 const MAX_INFORMATIONAL_REPLIES: usize = 4;
 
-/// Maximum number of headers in a reply.
-const MAX_HEADERS: usize = 64;
-
 /// Buffer space reserved for each read, in bytes.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 
@@ -70,23 +65,6 @@
     Crossed,
 }
 
-/// How the end of a body is determined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    /// Fixed length, in bytes.
-    Length(usize),
-    Chunked,
-    UntilClose,
-}
-
-/// Parsed head of a reply.
-struct Head {
-    response: Response<()>,
-    framing: Framing,
-    /// Whether the peer keeps the connection open after this reply.
-    keep_alive: bool,
-}
-
 /// Sends `request` and reads replies until `classify_reply` reports one as
 /// [`Whose::Own`]. A body may have at most `max_body_bytes`.
 pub(crate) async fn send(
@@ -112,6 +90,9 @@
                 let clean = !output.has_remaining() && input.is_empty() && !closed;
                 let class = classify_reply(&reply);
                 if class == Whose::Own {
+                    if !may_follow(&input) {
+                        return SendOutcome::Failed(malformed("other bytes follow the body"));
+                    }
                     let reply = if grant.bytes() > 0 {
                         reply.map(|body| grant.hold(body))
                     } else {
@@ -249,7 +230,7 @@
             }
             self.informational += 1;
             if self.informational > MAX_INFORMATIONAL_REPLIES {
-                return Err(ExchangeError::BadReply);
+                return Err(malformed("too many informational replies"));
             }
         }
         let Some(body) = self.take_body(input, closed)? else {
@@ -273,7 +254,7 @@
             Some(Framing::UntilClose) => input.len(),
         };
         if length > self.max_body_bytes {
-            return Err(ExchangeError::BadReply);
+            return Err(malformed("the body is too long"));
         }
         let is_missing = input.len() < length || (framing == Some(Framing::UntilClose) && !closed);
         if is_missing {
@@ -292,16 +273,11 @@
     /// last one and the trailers have arrived.
     fn take_chunks(&mut self, input: &mut BytesMut) -> Result<Option<Bytes>, ExchangeError> {
         while !self.in_trailers {
-            let (line_length, size) = match httparse::parse_chunk_size(input) {
-                Ok(httparse::Status::Complete(parsed)) => parsed,
-                Ok(httparse::Status::Partial) if input.len() <= MAX_CHUNK_LINE_BYTES => {
-                    return Ok(None);
-                }
-                _ => return Err(ExchangeError::BadReply),
+            let Some((line_length, size)) = parse_chunk_line(input)? else {
+                return Ok(None);
             };
-            let size = usize::try_from(size).map_err(|_| ExchangeError::BadReply)?;
             if self.chunks.len().saturating_add(size) > self.max_body_bytes {
-                return Err(ExchangeError::BadReply);
+                return Err(malformed("the body is too long"));
             }
             if size == 0 {
                 input.advance(line_length);
@@ -312,24 +288,27 @@
                 return Ok(None);
             };
             if !chunk.ends_with(b"\r\n") {
-                return Err(ExchangeError::BadReply);
+                return Err(malformed("a chunk has another length"));
             }
             self.chunks.extend_from_slice(&chunk[..size]);
             self.chunk_overhead += line_length + 2;
             let max_overhead =
                 MAX_CHUNK_OVERHEAD_BYTES + self.chunks.len() / CHUNK_OVERHEAD_DIVISOR;
             if self.chunk_overhead > max_overhead {
-                return Err(ExchangeError::BadReply);
+                return Err(malformed("the chunks are too small"));
             }
             input.advance(line_length + size + 2);
         }
         let Some(length) = trailers_length(input) else {
             return if input.len() > MAX_CHUNK_LINE_BYTES {
-                Err(ExchangeError::BadReply)
+                Err(malformed("the trailers are too long"))
             } else {
                 Ok(None)
             };
         };
+        if !are_trailers(&input[..length]) {
+            return Err(malformed("a trailer is no field"));
+        }
         input.advance(length);
         self.in_trailers = false;
         self.chunk_overhead = 0;
@@ -351,79 +330,33 @@
     }
 }
 
-/// Parses the head and returns it with its length in bytes; `None` while it is
-/// incomplete.
-fn parse_head(input: &[u8], method: &Method) -> Result<Option<(Head, usize)>, ExchangeError> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut parsed = httparse::Response::new(&mut headers);
-    let length = match parsed.parse(input) {
-        Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) if input.len() > MAX_HEAD_BYTES => {
-            return Err(ExchangeError::BadReply);
-        }
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(_) => return Err(ExchangeError::BadReply),
-    };
-    let status = StatusCode::from_u16(parsed.code.unwrap_or_default());
-    let status = status.map_err(|_| ExchangeError::BadReply)?;
-    let mut map = HeaderMap::with_capacity(parsed.headers.len());
-    for header in parsed.headers.iter() {
-        let name = HeaderName::from_bytes(header.name.as_bytes());
-        let value = HeaderValue::from_bytes(header.value);
-        let (Ok(name), Ok(value)) = (name, value) else {
-            return Err(ExchangeError::BadReply);
-        };
-        map.append(name, value);
-    }
-    let framing = body_framing(&map, status, method)?;
-    // Two framings leave it open where the reply ends.
-    let is_ambiguous = map.contains_key(CONTENT_LENGTH) && map.contains_key(TRANSFER_ENCODING);
-    let close = is_ambiguous || has_token(&map, &CONNECTION, "close");
-    let keep_alive = parsed.version == Some(1) && !close && framing != Framing::UntilClose;
-    let mut response = Response::new(());
-    *response.status_mut() = status;
-    *response.headers_mut() = map;
-    let head = Head {
-        response,
-        framing,
-        keep_alive,
-    };
-    Ok(Some((head, length)))
+/// Start of each reply.
+const REPLY_START: &[u8] = b"HTTP/";
+
+/// Whether these bytes may follow a complete reply: those of another one, which
+/// belongs to no request. Others show that the reply ended elsewhere than its
+/// head said.
+fn may_follow(input: &[u8]) -> bool {
+    let length = input.len().min(REPLY_START.len());
+    input[..length] == REPLY_START[..length]
 }
 
-/// Determines the body framing from the status and the headers.
-fn body_framing(
-    headers: &HeaderMap,
-    status: StatusCode,
-    method: &Method,
-) -> Result<Framing, ExchangeError> {
-    let bodyless = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
-    if bodyless || status.is_informational() || *method == Method::HEAD {
-        return Ok(Framing::Length(0));
-    }
-    if headers.contains_key(TRANSFER_ENCODING) {
-        return if has_token(headers, &TRANSFER_ENCODING, "chunked") {
-            Ok(Framing::Chunked)
-        } else {
-            Ok(Framing::UntilClose)
-        };
-    }
-    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
-    let Some(first) = lengths.next() else {
-        return Ok(Framing::UntilClose);
+/// Parses the line in front of a chunk; returns its length and the size of the
+/// chunk, or `None` while it is incomplete.
+fn parse_chunk_line(input: &[u8]) -> Result<Option<(usize, usize)>, ExchangeError> {
+    let (length, size) = match httparse::parse_chunk_size(input) {
+        Ok(httparse::Status::Complete(parsed)) => parsed,
+        Ok(httparse::Status::Partial) if input.len() <= MAX_CHUNK_LINE_BYTES => return Ok(None),
+        _ => return Err(malformed("the size of a chunk is no number")),
     };
-    if lengths.any(|other| other != first) {
-        return Err(ExchangeError::BadReply);
+    let line = &input[..length - b"\r\n".len()];
+    // The parser takes an empty size for zero, and any bytes for extensions.
+    let is_text = |b: &u8| b.is_ascii_graphic() || matches!(b, b' ' | b'\t');
+    if !line.first().is_some_and(u8::is_ascii_hexdigit) || !line.iter().all(is_text) {
+        return Err(malformed("the size of a chunk is no number"));
     }
-    let length = first.to_str().ok().and_then(|l| l.trim().parse().ok());
-    length.map(Framing::Length).ok_or(ExchangeError::BadReply)
-}
-
-/// Whether a comma-separated header contains `token`, ignoring case.
-fn has_token(headers: &HeaderMap, name: &HeaderName, token: &str) -> bool {
-    let values = headers.get_all(name).iter().filter_map(|v| v.to_str().ok());
-    let mut tokens = values.flat_map(|v| v.split(','));
-    tokens.any(|t| t.trim().eq_ignore_ascii_case(token))
+    let size = usize::try_from(size).map_err(|_| malformed("the body is too long"))?;
+    Ok(Some((length, size)))
 }
 
 /// Length of the trailer section including its final empty line; `None` while
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http_client;
 mod http_connections;
 mod http_exchange;
+mod http_head;
 mod http_io;
 pub mod http_reply;
 pub mod http_server;
