--- a/crates/ports/src/http_exchange.rs
+++ b/crates/ports/src/http_exchange.rs
@@ -1,6 +1,6 @@
 //! Client side of one HTTP/1.1 request/reply exchange over an open connection.
 //!
-//! [`http_head`](crate::http_head) parses the head. Buffers live only as long as the exchange, so an
+//! `http_head` parses the head. Buffers live only as long as the exchange, so an
 //! idle pooled connection holds none. A reply to an earlier request, such as a
 //! late duplicate, is skipped.
 
--- a/crates/ports/src/http_server.rs
+++ b/crates/ports/src/http_server.rs
@@ -147,7 +147,8 @@
     serve_within(listener, limits, capacity, phase, handler).await;
 }
 
-/// Serves like [`serve`], within a capacity that may change meanwhile.
+/// Serves like [`serve`], within a capacity that may change meanwhile; it replaces
+/// the number of connections and the memory of bodies in `limits`.
 pub async fn serve_within<F>(
     listener: TcpListener,
     limits: Limits,
@@ -162,7 +163,7 @@
         log::debug!(reason:% = e; "socket.options");
     }
     let connections = Arc::<Connections>::default();
-    let refusals = (limits.connections / REFUSALS_DIVISOR).clamp(1, MAX_CONCURRENT_REFUSALS);
+    let refusals = (capacity.connections() / REFUSALS_DIVISOR).clamp(1, MAX_CONCURRENT_REFUSALS);
     let shared = Arc::new(Shared {
         limits,
         capacity: Arc::clone(&capacity),
--- a/crates/ports/src/serving.rs
+++ b/crates/ports/src/serving.rs
@@ -46,23 +46,20 @@
     pub fn start(node: Arc<Node>, listeners: Listeners, division: &Division) -> Self {
         let (phase, phase_receiver) = watch::channel(Phase::Serve);
         tokio::spawn(peer::serve(listeners.peers, Arc::clone(&node)));
+        let within = |limits: Limits, connections| Limits {
+            connections,
+            body_memory: division.bodies,
+            ..limits
+        };
         let operator_server = operator::serve(
             listeners.operators,
-            Limits {
-                connections: division.checks,
-                body_memory: division.bodies,
-                ..operator::limits()
-            },
+            within(operator::limits(), division.checks),
             Arc::clone(&node),
             phase_receiver.clone(),
         );
         let caller_server = caller::serve(
             listeners.callers,
-            Limits {
-                connections: division.callers,
-                body_memory: division.bodies,
-                ..caller::limits()
-            },
+            within(caller::limits(), division.callers),
             Arc::clone(&node),
             phase_receiver,
         );
