--- a/crates/daemon/tests/hostile/main.rs
+++ b/crates/daemon/tests/hostile/main.rs
@@ -13,7 +13,7 @@
 use std::sync::Mutex;
 
 use common::searcher::{Act, Searcher};
-use common::{Site, one, request, send, until};
+use common::{Site, get, one, request, send, until};
 use crowd::{Crowd, Framing, MAX_BODY_BYTES};
 use process::Process;
 use serde_json::json;
@@ -54,9 +54,7 @@
 
 impl Rig {
     async fn start(name: &str) -> Self {
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("hostile-{name}"));
-        let _ = fs::remove_dir_all(&folder);
-        fs::create_dir_all(&folder).unwrap();
+        let folder = folder(name);
         let mut site = Site::start().await;
         let ordinary = Searcher::start("i-1", "one").await;
         let stuck = Searcher::start("i-2", "two").await;
@@ -68,7 +66,7 @@
         two["prefix"] = json!("/two/");
         two["service"] = json!("two");
         site.configure(json!([one("idempotent"), two])).await;
-        let process = Process::start(&folder, site.store_at, MEMORY_MB, MAX_FDS);
+        let process = Process::start(&folder, site.store_at, true, (MEMORY_MB, MAX_FDS));
         let rig = Self {
             process,
             stuck,
@@ -91,31 +89,47 @@
         until(|| self.answers(1)).await;
         drop(crowd);
         until(|| self.answers(MAX_BODY_BYTES)).await;
-        assert!(self.process.is_alive());
-        let bytes = self.process.peak_memory();
-        println!(
-            "peak memory {} KB, descriptors {}",
-            bytes / 1_000,
-            self.process.peak_descriptors()
-        );
-        let most = u64::from(MEMORY_MB) * 1_000_000;
-        assert!(bytes <= most, "{bytes} bytes of {most}");
-        let descriptors = self.process.peak_descriptors();
-        assert!(
-            descriptors <= MAX_FDS as usize,
-            "{descriptors} of {MAX_FDS}"
-        );
+        check_process(&mut self.process);
     }
 }
 
+/// Checks that a process lives, and stayed within its settings.
+fn check_process(process: &mut Process) {
+    assert!(process.is_alive());
+    let (bytes, descriptors) = (process.peak_memory(), process.peak_descriptors());
+    println!(
+        "peak memory {} KB, descriptors {descriptors}",
+        bytes / 1_000
+    );
+    let most = u64::from(MEMORY_MB) * 1_000_000;
+    assert!(bytes <= most, "{bytes} bytes of {most}");
+    assert!(
+        descriptors <= MAX_FDS as usize,
+        "{descriptors} of {MAX_FDS}"
+    );
+}
+
+/// Empties the folder of a test and returns it.
+fn folder(name: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("hostile-{name}"));
+    let _ = fs::remove_dir_all(&folder);
+    fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
 /// Runs a test alone, on a runtime of its own.
-fn run<F: Future<Output = ()>>(name: &str, test: impl FnOnce(Rig) -> F) {
+fn run_alone(test: impl Future<Output = ()>) {
     let _guard = RUN_LOCK.lock();
     let runtime = Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
         .build();
-    runtime.unwrap().block_on(async {
+    runtime.unwrap().block_on(test);
+}
+
+/// Runs a test of a gateway, which has answered a request of the full length.
+fn run<F: Future<Output = ()>>(name: &str, test: impl FnOnce(Rig) -> F) {
+    run_alone(async {
         let rig = Rig::start(name).await;
         until(|| rig.answers(MAX_BODY_BYTES)).await;
         test(rig).await;
@@ -225,3 +239,31 @@
         });
     }
 }
+
+/// The tier's own interface: callers and operators of a node that has no
+/// configuration.
+#[test]
+fn bodies_to_the_own_interface_are_survived() {
+    run_alone(async {
+        let site = Site::start().await;
+        let limits = (MEMORY_MB, MAX_FDS);
+        let mut process = Process::start(&folder("own"), site.store_at, false, limits);
+        let callers = process.callers;
+        let lists_addresses = || async {
+            let reply = get(callers, "/addresses").await;
+            reply.is_ok_and(|reply| reply.status() == 200)
+        };
+        until(lists_addresses).await;
+        let framing = Framing::Length {
+            piece: MAX_BODY_BYTES,
+        };
+        let stops_at = MAX_BODY_BYTES - MISSING_BYTES;
+        let mut crowd = Crowd::default();
+        for port in [callers, process.operators] {
+            crowd.join(Crowd::send_bodies(port, SENDERS, framing, stops_at).await);
+        }
+        until(lists_addresses).await;
+        drop(crowd);
+        check_process(&mut process);
+    });
+}
--- a/crates/daemon/tests/hostile/process.rs
+++ b/crates/daemon/tests/hostile/process.rs
@@ -20,6 +20,7 @@
     pub ready: SocketAddr,
     pub directory: SocketAddr,
     pub peers: SocketAddr,
+    pub operators: SocketAddr,
     child: Child,
     peak_descriptors: Arc<AtomicUsize>,
     ended: Arc<AtomicBool>,
@@ -27,9 +28,14 @@
 }
 
 impl Process {
-    /// Starts a node that reads the store; its settings and log are written to
-    /// `folder`.
-    pub fn start(folder: &Path, store: SocketAddr, memory_mb: u32, max_fds: u32) -> Self {
+    /// Starts a node that reads the store, as a gateway or with the tier's own
+    /// interface; its settings and log are written to `folder`.
+    pub fn start(
+        folder: &Path,
+        store: SocketAddr,
+        is_gateway: bool,
+        (memory_mb, max_fds): (u32, u32),
+    ) -> Self {
         let (mut node, gateway) = common::settings("node-1", store, &[]);
         node.operators = node.callers.replace(":7001", ":7005");
         node.memory_mb = memory_mb;
@@ -40,9 +46,10 @@
             &gateway.ready,
             &gateway.directory,
             &node.peers,
+            &node.operators,
         ];
-        let [callers, ready, directory, peers] = addresses.map(|address| parse(address));
-        node.gateway = Some(gateway);
+        let [callers, ready, directory, peers, operators] = addresses.map(|address| parse(address));
+        node.gateway = is_gateway.then_some(gateway);
         let settings = folder.join("node.jsonc");
         fs::write(&settings, common::settings_text(&node)).unwrap();
         let log = File::create(folder.join("node.log")).unwrap();
@@ -71,6 +78,7 @@
             ready,
             directory,
             peers,
+            operators,
             child,
             peak_descriptors,
             ended,
