A body that arrives steadily keeps its memory

A client that sent a large body slowly but steadily was refused for the memory that a newcomer wanted: a body counted as stalled one second after its buffer had last grown, which for one of 256 KiB is after its first quarter. What it lacked was recorded then, too, so that bodies near their end and others looked alike.

16 KiB are progress now, and what is missing is recorded with each frame. The new test failed before (the newcomer got 200 in place of 503).

--- a/crates/ports/src/http_body.rs
+++ b/crates/ports/src/http_body.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Incoming};
 use tokio::sync::watch;
 
-use crate::http_connections::{Close, Connection, Connections, Stage, Yielding};
+use crate::http_connections::{Close, Connection, Connections, Yielding};
 use crate::http_reply::Fault;
 use crate::http_server::Phase;
 use crate::memory::{FREE_BODY_BYTES, MemoryBudget, MemoryGrant};
@@ -79,7 +79,7 @@
         mut body: Incoming,
         mut buffer: BodyBuffer,
     ) -> Result<Bytes, Fault> {
-        self.connection.set_stage(buffer.stage());
+        self.record(&buffer);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Fault::TruncatedBody)?;
             let Ok(content) = frame.into_data() else {
@@ -93,13 +93,18 @@
             }
             if content.len() > buffer.room() {
                 self.grow(&mut buffer, content.len()).await?;
-                self.connection.set_stage(buffer.stage());
             }
             buffer.data.extend_from_slice(&content);
+            self.record(&buffer);
         }
         Ok(buffer.into_bytes())
     }
 
+    fn record(&self, buffer: &BodyBuffer) {
+        let (held, missing) = (buffer.grant.bytes(), buffer.missing());
+        self.connection.set_body(held, missing);
+    }
+
     /// Makes room in the buffer for `more` bytes, for which other bodies may have
     /// to make room.
     async fn grow(&self, buffer: &mut BodyBuffer, more: usize) -> Result<(), Fault> {
@@ -137,13 +142,6 @@
         self.data.capacity() - self.data.len()
     }
 
-    const fn stage(&self) -> Stage {
-        Stage::Body {
-            held: self.grant.bytes(),
-            missing: self.missing(),
-        }
-    }
-
     /// Capacity to grow to for `more` bytes, up to the length of the body.
     fn next_capacity(&self, more: usize) -> usize {
         let grown = (self.data.capacity() * GROWTH_FACTOR).max(FREE_BODY_BYTES);
--- a/crates/ports/src/http_connections.rs
+++ b/crates/ports/src/http_connections.rs
@@ -18,6 +18,10 @@
 /// an answer, counts as stalled.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
+/// Number of bytes of a body that count as progress: less of them would keep a body
+/// from ever being stalled.
+const PROGRESS_BYTES: usize = 16 * 1_024;
+
 /// Time for which a connection may be without a request before it makes room for
 /// a new one. A shorter one would let new connections close each other in turn.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(500);
@@ -53,23 +57,25 @@
 
 /// Why a connection closes early.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
 pub(crate) enum Close {
     /// Its request is refused, and its body is not read on.
-    Body,
+    Body = 1,
     /// It carries no request, or its client does not read the answer.
-    Connection,
+    Connection = 2,
 }
 
-/// Values of [`Connection::close`].
+/// Value of [`Connection::close`] while the connection stays open; others are a
+/// [`Close`].
 const STAYS_OPEN: u8 = 0;
-const CLOSES_BODY: u8 = 1;
-const CLOSES: u8 = 2;
 
 #[derive(Debug)]
 struct Progress {
     stage: Stage,
-    /// When the stage began, or a body last grew.
+    /// When the stage began, or a body last made progress.
     since: Instant,
+    /// Bytes that the body lacked then.
+    missing_then: usize,
     /// Since when the client reads no byte of an answer.
     unread_since: Option<Instant>,
 }
@@ -88,6 +94,7 @@
             progress: Mutex::new(Progress {
                 stage: Stage::Idle,
                 since: Instant::now(),
+                missing_then: 0,
                 unread_since: None,
             }),
             close: AtomicU8::new(STAYS_OPEN),
@@ -99,13 +106,25 @@
         self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that a stage begins, or that a body has grown.
+    /// Records that a stage begins.
     pub(crate) fn set_stage(&self, stage: Stage) {
         let mut progress = self.lock();
         progress.stage = stage;
         progress.since = Instant::now();
     }
 
+    /// Records the memory granted to the arriving body and the bytes that it
+    /// lacks.
+    pub(crate) fn set_body(&self, held: usize, missing: usize) {
+        let mut progress = self.lock();
+        let has_begun = matches!(progress.stage, Stage::Body { .. });
+        if !has_begun || progress.missing_then >= missing + PROGRESS_BYTES {
+            progress.since = Instant::now();
+            progress.missing_then = missing;
+        }
+        progress.stage = Stage::Body { held, missing };
+    }
+
     /// Records that bytes of a head or a body have arrived. Those of a head do
     /// not count as progress.
     pub(crate) fn record_bytes(&self) {
@@ -145,13 +164,9 @@
 
     /// Completes when the connection is told to close so.
     pub(crate) async fn closes(&self, close: Close) {
-        let wanted = match close {
-            Close::Body => CLOSES_BODY,
-            Close::Connection => CLOSES,
-        };
         loop {
             let closes = self.closes.notified();
-            if self.close.load(Ordering::Acquire) == wanted {
+            if self.close.load(Ordering::Acquire) == close as u8 {
                 return;
             }
             closes.await;
@@ -209,8 +224,12 @@
     /// Tells a connection to close.
     fn close(&mut self, connection: &Connection) {
         let is_body = connection.body().is_some() && !connection.is_unread();
-        let close = if is_body { CLOSES_BODY } else { CLOSES };
-        connection.close.store(close, Ordering::Release);
+        let close = if is_body {
+            Close::Body
+        } else {
+            Close::Connection
+        };
+        connection.close.store(close as u8, Ordering::Release);
         connection.closes.notify_waiters();
         self.closing += 1;
     }
--- a/crates/ports/tests/http_server.rs
+++ b/crates/ports/tests/http_server.rs
@@ -181,6 +181,28 @@
     assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
 }
 
+/// Guards against a body that arrived steadily, but lost its memory as stalled one
+/// second after its buffer had last grown.
+#[tokio::test]
+async fn serve_body_that_arrives_slowly_keeps_its_memory() {
+    const PIECES: usize = 4;
+    let server = start_server(8).await;
+    let mut slow = send_body(server.address, BODY_BYTES / PIECES).await;
+    for piece in 1..PIECES {
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        slow.write_all(&vec![b'b'; BODY_BYTES / PIECES])
+            .await
+            .unwrap();
+        if piece == PIECES - 2 {
+            let mut other = send_body(server.address, BODY_BYTES).await;
+            let refusal = read_all(&mut other).await;
+            assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+        }
+    }
+    let reply = read_all(&mut slow).await;
+    assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+}
+
 #[tokio::test]
 async fn serve_connections_without_progress_make_room() {
     let server = start_server(3).await;
