Soak: the time for which a node is paused does not count as a hang

Its log shows why: node 0 was paused by a signal for 6.4 s, since the plan's next steps waited for the exits of node 2, twice 2.1 to 2.3 s. A stopped process answers nobody; the plan asks for pauses of at most 1.5 s.

The check now leaves out the time for which the request's own node was paused, and nothing else: a pause ends with the signal that continues, stops or kills the process.

--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -15,7 +15,7 @@
 use crate::common::searcher::{Act, Searcher};
 use crate::common::{self, Site};
 use crate::node::{self, Node};
-use crate::promises::{KnownSearcher, RECORDS, Recorded, Shutdown};
+use crate::promises::{KnownSearcher, Pause, RECORDS, Recorded, Shutdown};
 use crate::proxy::{Link, Proxy};
 
 /// Number of nodes.
@@ -302,6 +302,7 @@
                 }
                 self.nodes[node].signal(Signal::TERM);
                 self.nodes[node].signal(Signal::CONT);
+                self.end_pause(node);
                 self.fault_starts.insert(format!("stop {node}"), now);
             }
             Step::CheckExit(node) => {
@@ -322,6 +323,7 @@
             }
             Step::Kill(node) => {
                 self.nodes[node].signal(Signal::KILL);
+                self.end_pause(node);
                 self.nodes[node].wait_exit().await?;
             }
             Step::Start(node) => {
@@ -336,7 +338,7 @@
             }
             Step::Resume(node) => {
                 self.nodes[node].signal(Signal::CONT);
-                self.end_fault(&format!("pause {node}"));
+                self.end_pause(node);
             }
             Step::StoreDown(down) => self.set_store_down(down),
             Step::StoreLink(node, link) => {
@@ -394,6 +396,16 @@
         }
     }
 
+    /// Records the end of the pause of a node, if it is paused.
+    fn end_pause(&mut self, node: usize) {
+        let key = format!("pause {node}");
+        if let Some(started) = self.fault_starts.get(&key) {
+            let span = *started..=Instant::now();
+            self.recorded.pauses.push(Pause { node, span });
+        }
+        self.end_fault(&key);
+    }
+
     /// Records the end of the fault that started under `key`, if any.
     fn end_fault(&mut self, key: &str) {
         if let Some(started) = self.fault_starts.remove(key) {
--- a/crates/daemon/tests/soak/promises.rs
+++ b/crates/daemon/tests/soak/promises.rs
@@ -36,6 +36,23 @@
     pub span: RangeInclusive<Instant>,
 }
 
+/// Time for which the process of a node was stopped by a signal.
+pub struct Pause {
+    pub node: usize,
+    pub span: RangeInclusive<Instant>,
+}
+
+impl Pause {
+    /// Part of the time of a request at the same node.
+    fn overlap(&self, sent: &SentRequest) -> Duration {
+        if self.node != sent.node {
+            return Duration::ZERO;
+        }
+        let end = sent.ended.min(*self.span.end());
+        end.saturating_duration_since(sent.started.max(*self.span.start()))
+    }
+}
+
 /// Everything recorded in one run.
 #[derive(Default)]
 pub struct Recorded {
@@ -43,6 +60,9 @@
     pub searchers: Vec<KnownSearcher>,
     /// Graceful shutdowns in runs without overlapping faults.
     pub shutdowns: Vec<Shutdown>,
+    /// Pauses of nodes. A step that waits for the exit of another node prolongs
+    /// them.
+    pub pauses: Vec<Pause>,
     /// Periods in which a fault of a node or of the store was active.
     pub disruptions: Vec<RangeInclusive<Instant>>,
 }
@@ -78,7 +98,8 @@
         if sent.route == "once" && ran.len() > 1 {
             record_violation("twice", format!("{} ran {} times", sent.id, ran.len()));
         }
-        if sent.ended - sent.started >= HANG_TIMEOUT {
+        let paused: Duration = recorded.pauses.iter().map(|p| p.overlap(sent)).sum();
+        if (sent.ended - sent.started).saturating_sub(paused) >= HANG_TIMEOUT {
             record_violation("hangs", format!("{} of node {}", sent.id, sent.node));
         }
         match &sent.result {
